wire: Carry HTTP/3 flows over several balancers

Cause: a client's packets reach any balancer, so no balancer may hold a flow. Ruled out: a wrapper that embeds *net.UDPConn, because quic-go then bypasses WriteTo. Before: no code.

--- /dev/null
+++ b/internal/balancer/client/forwarder.go
@@ -0,0 +1,277 @@
+// Package client forwards datagrams between the clients of a balancer and the
+// sidecars behind it.
+package client
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+
+	"github.com/orioledyke/orioledyke/internal/balancer/routing"
+	"github.com/orioledyke/orioledyke/internal/common/identity"
+	"github.com/orioledyke/orioledyke/internal/common/keyring"
+	"github.com/orioledyke/orioledyke/internal/wire/tunnel"
+	"github.com/samber/oops"
+	"golang.org/x/net/ipv4"
+)
+
+const (
+	// batchSize is the number of datagrams for one system call.
+	batchSize   = 64
+	bufferSize  = tunnel.HeaderSize + tunnel.MaxPayload + tunnel.Overhead
+	socketBytes = 4 << 20
+)
+
+// Config configures a Forwarder.
+type Config struct {
+	// Entry is the address at which clients reach every service, by its port.
+	Entry netip.Addr
+	// Tunnel is the socket towards sidecars. The Forwarder closes it.
+	Tunnel *net.UDPConn
+	// Self names this run of the balancer.
+	Self identity.OwnerID
+	Keys *keyring.Store
+	// Logged receives errors of the sockets that do not end the Forwarder.
+	Logged func(event string, err error)
+}
+
+// Forwarder owns the sockets of a balancer's data path.
+type Forwarder struct {
+	config  Config
+	sealer  *tunnel.Sealer
+	tunnel  *ipv4.PacketConn
+	table   atomic.Pointer[routing.Table]
+	reasons [routing.ReasonCount]atomic.Uint64
+	invalid atomic.Uint64
+	inbound atomic.Uint64
+	outward atomic.Uint64
+
+	mutex   sync.RWMutex
+	sockets map[identity.ServiceID]*socket
+	ctx     context.Context
+	done    sync.WaitGroup
+}
+
+type socket struct {
+	service identity.ServiceID
+	port    uint16
+	conn    *net.UDPConn
+	packets *ipv4.PacketConn
+}
+
+// NewForwarder starts to receive from sidecars. Clients are served after
+// SetServices. The Forwarder ends with ctx; Wait returns when it has.
+func NewForwarder(ctx context.Context, config Config) *Forwarder {
+	f := &Forwarder{
+		config:  config,
+		sealer:  tunnel.NewSealer(config.Self),
+		tunnel:  ipv4.NewPacketConn(config.Tunnel),
+		sockets: map[identity.ServiceID]*socket{},
+		ctx:     ctx,
+	}
+	f.table.Store(routing.NewTable())
+	enlargeBuffers(config.Tunnel)
+	f.done.Go(f.receiveFromSidecars)
+	f.done.Go(func() {
+		<-ctx.Done()
+		f.close()
+	})
+	return f
+}
+
+// Wait returns when every goroutine of the Forwarder has ended.
+func (f *Forwarder) Wait() { f.done.Wait() }
+
+// SetTable replaces the table of members.
+func (f *Forwarder) SetTable(table *routing.Table) { f.table.Store(table) }
+
+// Table returns the current table of members.
+func (f *Forwarder) Table() *routing.Table { return f.table.Load() }
+
+// Decisions returns how many datagrams of clients were decided for reason.
+func (f *Forwarder) Decisions(reason routing.Reason) uint64 { return f.reasons[reason].Load() }
+
+// Invalid returns how many tunnel datagrams were not authentic.
+func (f *Forwarder) Invalid() uint64 { return f.invalid.Load() }
+
+// Inbound returns how many datagrams of clients were received.
+func (f *Forwarder) Inbound() uint64 { return f.inbound.Load() }
+
+// Outbound returns how many datagrams were sent to clients.
+func (f *Forwarder) Outbound() uint64 { return f.outward.Load() }
+
+// SetServices opens sockets for new services and closes those of services that
+// are gone or have another port. A port that cannot be opened is reported and
+// leaves the other services as they are.
+func (f *Forwarder) SetServices(ports map[identity.ServiceID]uint16) error {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for id, s := range f.sockets {
+		if port, ok := ports[id]; !ok || port != s.port {
+			_ = s.conn.Close()
+			delete(f.sockets, id)
+		}
+	}
+	var failed []error
+	for id, port := range ports {
+		if _, ok := f.sockets[id]; ok {
+			continue
+		}
+		if err := f.open(id, port); err != nil {
+			failed = append(failed, err)
+		}
+	}
+	return errors.Join(failed...)
+}
+
+func (f *Forwarder) open(id identity.ServiceID, port uint16) error {
+	address := netip.AddrPortFrom(f.config.Entry, port)
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return oops.Code("entry-address-unavailable").Wrapf(err, "open %s", address)
+	}
+	enlargeBuffers(conn)
+	s := &socket{service: id, port: port, conn: conn, packets: ipv4.NewPacketConn(conn)}
+	f.sockets[id] = s
+	f.done.Go(func() { f.receiveFromClients(s) })
+	return nil
+}
+
+func (f *Forwarder) close() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	_ = f.config.Tunnel.Close()
+	for _, s := range f.sockets {
+		_ = s.conn.Close()
+	}
+}
+
+func enlargeBuffers(conn *net.UDPConn) {
+	// The kernel limits the size silently; a smaller buffer is not an error.
+	_ = conn.SetReadBuffer(socketBytes)
+	_ = conn.SetWriteBuffer(socketBytes)
+}
+
+func (f *Forwarder) receiveFromClients(s *socket) {
+	in := newBatch(tunnel.HeaderSize, tunnel.MaxPayload)
+	out := make([]ipv4.Message, 0, batchSize)
+	router := &routing.Router{}
+	for {
+		n, err := s.packets.ReadBatch(in.messages, 0)
+		if err != nil {
+			if f.ended(err) {
+				return
+			}
+			continue
+		}
+		f.inbound.Add(uint64(n))
+		out = f.sealBatch(s, router, in, n, out[:0])
+		f.send(f.tunnel, out)
+	}
+}
+
+func (f *Forwarder) sealBatch(s *socket, router *routing.Router, in *batch, n int, out []ipv4.Message) []ipv4.Message {
+	table, ring := f.table.Load(), f.config.Keys.Ring()
+	keys := ring.Active()
+	for i := range n {
+		size := in.messages[i].N
+		buffer := in.buffers[i]
+		decision := router.Route(table, ring, s.service, buffer[tunnel.HeaderSize:tunnel.HeaderSize+size])
+		f.reasons[decision.Reason].Add(1)
+		if !decision.Forward() {
+			continue
+		}
+		source, ok := in.messages[i].Addr.(*net.UDPAddr)
+		if !ok {
+			continue
+		}
+		header := tunnel.Header{
+			Type: tunnel.TypeInbound, Flags: decision.Flags, Service: s.service,
+			Owner: decision.Owner, Client: source.AddrPort(),
+		}
+		out = append(out, in.reply(i, f.sealer.Seal(keys, header, buffer, size), decision.Target))
+	}
+	return out
+}
+
+func (f *Forwarder) receiveFromSidecars() {
+	in := newBatch(0, bufferSize)
+	var run []ipv4.Message
+	for {
+		n, err := f.tunnel.ReadBatch(in.messages, 0)
+		if err != nil {
+			if f.ended(err) {
+				return
+			}
+			continue
+		}
+		run = f.openBatch(in, n, run[:0])
+	}
+}
+
+// openBatch sends the datagrams of a batch to their clients, with one system
+// call for each run of datagrams of the same service.
+func (f *Forwarder) openBatch(in *batch, n int, run []ipv4.Message) []ipv4.Message {
+	ring := f.config.Keys.Ring()
+	var current *socket
+	for i := range n {
+		header, payload, err := tunnel.Open(ring, in.buffers[i][:in.messages[i].N])
+		if err != nil || header.Type != tunnel.TypeOutbound {
+			f.invalid.Add(1)
+			continue
+		}
+		s := f.socket(header.Service)
+		if s == nil {
+			continue
+		}
+		if s != current {
+			f.sendToClients(current, run)
+			current, run = s, run[:0]
+		}
+		run = append(run, in.reply(i, payload, header.Client))
+	}
+	f.sendToClients(current, run)
+	return run
+}
+
+func (f *Forwarder) sendToClients(s *socket, run []ipv4.Message) {
+	if s == nil || len(run) == 0 {
+		return
+	}
+	f.outward.Add(uint64(len(run)))
+	f.send(s.packets, run)
+}
+
+func (f *Forwarder) socket(id identity.ServiceID) *socket {
+	f.mutex.RLock()
+	defer f.mutex.RUnlock()
+	return f.sockets[id]
+}
+
+// send writes all messages. A message that the kernel refuses is left out, as
+// the network could have lost it.
+func (f *Forwarder) send(conn *ipv4.PacketConn, messages []ipv4.Message) {
+	for len(messages) > 0 {
+		n, err := conn.WriteBatch(messages, 0)
+		if err != nil {
+			if f.ended(err) {
+				return
+			}
+			n = max(n, 0) + 1
+		}
+		messages = messages[min(n, len(messages)):]
+	}
+}
+
+func (f *Forwarder) ended(err error) bool {
+	if f.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+		return true
+	}
+	// A client or sidecar that closed its port causes an ICMP error, which the
+	// kernel reports at the next call.
+	f.config.Logged("socket-error", err)
+	return false
+}
--- /dev/null
+++ b/internal/balancer/routing/route.go
@@ -0,0 +1,89 @@
+package routing
+
+import (
+	"net/netip"
+
+	"github.com/orioledyke/orioledyke/internal/common/identity"
+	"github.com/orioledyke/orioledyke/internal/common/keyring"
+	"github.com/orioledyke/orioledyke/internal/wire/quic"
+	"github.com/orioledyke/orioledyke/internal/wire/tunnel"
+)
+
+// Reason tells how a decision came about.
+type Reason uint8
+
+// Reasons for a decision. The first three drop the datagram.
+const (
+	DropNotQUIC Reason = iota
+	DropForeignConnectionID
+	DropNoMember
+	ToOwner
+	ToPlaced
+	ToRelay
+)
+
+var reasonNames = [...]string{
+	DropNotQUIC:             "drop-not-quic",
+	DropForeignConnectionID: "drop-foreign-connection-id",
+	DropNoMember:            "drop-no-member",
+	ToOwner:                 "to-owner",
+	ToPlaced:                "to-placed",
+	ToRelay:                 "to-relay",
+}
+
+// ReasonCount is the number of reasons.
+const ReasonCount = len(reasonNames)
+
+// String returns the reason in kebab case.
+func (r Reason) String() string { return reasonNames[r] }
+
+// Decision tells where a datagram goes.
+type Decision struct {
+	Reason Reason
+	Owner  identity.OwnerID
+	Target netip.AddrPort
+	Flags  tunnel.Flags
+}
+
+// Forward reports whether the datagram is sent to Target.
+func (d Decision) Forward() bool { return d.Reason >= ToOwner }
+
+// Router decides for one goroutine. It does not allocate.
+type Router struct {
+	decoder quic.Decoder
+}
+
+// Route decides about a datagram that arrived at the address of a service.
+func (r *Router) Route(table *Table, ring *keyring.Ring, id identity.ServiceID, datagram []byte) Decision {
+	header, ok := quic.ParseHeader(datagram)
+	if !ok {
+		return Decision{Reason: DropNotQUIC}
+	}
+	if connection, ok := r.decoder.Decode(ring, header.Destination()); ok && connection.Service() == id {
+		return toOwner(table, id, connection.Owner(), header.Destination())
+	}
+	if !header.First() {
+		return Decision{Reason: DropForeignConnectionID}
+	}
+	s, ok := table.services[id]
+	if !ok {
+		return Decision{Reason: DropNoMember}
+	}
+	m := s.place(header.Destination())
+	return Decision{Reason: ToPlaced, Owner: m.Owner, Target: m.Tunnel}
+}
+
+func toOwner(table *Table, id identity.ServiceID, owner identity.OwnerID, connectionID []byte) Decision {
+	if m, ok := table.members[owner]; ok {
+		// An owner has one service for its lifetime, so a mismatch is a forgery.
+		if m.Service != id {
+			return Decision{Reason: DropForeignConnectionID}
+		}
+		return Decision{Reason: ToOwner, Owner: owner, Target: m.Tunnel}
+	}
+	s, ok := table.services[id]
+	if !ok {
+		return Decision{Reason: DropNoMember}
+	}
+	return Decision{Reason: ToRelay, Owner: owner, Target: s.place(connectionID).Tunnel, Flags: tunnel.FlagRelay}
+}
--- /dev/null
+++ b/internal/common/keyring/keyring.go
@@ -0,0 +1,183 @@
+// Package keyring holds the secrets that balancers and sidecars share, and
+// derives from them the keys of each purpose.
+package keyring
+
+import (
+	"crypto/aes"
+	"crypto/cipher"
+	"crypto/hkdf"
+	"crypto/sha256"
+	"encoding/base64"
+	"fmt"
+	"os"
+	"sync/atomic"
+
+	"github.com/goccy/go-yaml"
+	"github.com/samber/oops"
+)
+
+const (
+	// MaxGenerations is the number of generations that the 3 bits of a
+	// connection ID can name. The value 7 stays unused: QUIC-LB reserves it for
+	// connection IDs that cannot be routed.
+	MaxGenerations = 7
+	// SecretSize is the length of a generation's secret in bytes.
+	SecretSize = 32
+
+	blockKeySize = 16
+)
+
+// Generation names one secret of a key ring, from 0 to MaxGenerations-1.
+type Generation uint8
+
+// Ring is an immutable set of generations, one of which is active.
+type Ring struct {
+	active Generation
+	keys   [MaxGenerations]*Keys
+}
+
+// Keys are the keys derived from the secret of one generation.
+type Keys struct {
+	generation   Generation
+	connectionID cipher.Block
+	tunnel       cipher.AEAD
+	ticket       []byte
+	authority    []byte
+}
+
+type file struct {
+	Active      Generation       `yaml:"active"`
+	Generations []fileGeneration `yaml:"generations"`
+}
+
+type fileGeneration struct {
+	Number Generation `yaml:"number"`
+	Secret string     `yaml:"secret"`
+}
+
+// Load reads a key ring from a YAML file with the keys active and generations;
+// each generation has a number and a base64 secret of 32 bytes.
+func Load(path string) (*Ring, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, oops.Code("key-ring-unreadable").Wrapf(err, "read key ring")
+	}
+	ring, err := Parse(data)
+	if err != nil {
+		return nil, oops.Code("key-ring-invalid").Wrapf(err, "%s", path)
+	}
+	return ring, nil
+}
+
+// Parse reads a key ring from YAML. Errors name the key and what is allowed but
+// never contain a secret.
+func Parse(data []byte) (*Ring, error) {
+	var f file
+	if err := yaml.UnmarshalWithOptions(data, &f, yaml.Strict()); err != nil {
+		// The library's message quotes the source, which holds secrets.
+		return nil, fmt.Errorf("not a valid key ring: want the keys active and generations with number and secret")
+	}
+	secrets := make(map[Generation][]byte, len(f.Generations))
+	for i, g := range f.Generations {
+		if g.Number >= MaxGenerations {
+			return nil, fmt.Errorf("generations[%d].number: %d is not in 0 to %d", i, g.Number, MaxGenerations-1)
+		}
+		if _, ok := secrets[g.Number]; ok {
+			return nil, fmt.Errorf("generations[%d].number: %d is given twice", i, g.Number)
+		}
+		secret, err := base64.StdEncoding.DecodeString(g.Secret)
+		if err != nil || len(secret) != SecretSize {
+			return nil, fmt.Errorf("generations[%d].secret: want %d bytes in base64", i, SecretSize)
+		}
+		secrets[g.Number] = secret
+	}
+	return New(f.Active, secrets)
+}
+
+// New derives a key ring from the secrets of its generations.
+func New(active Generation, secrets map[Generation][]byte) (*Ring, error) {
+	ring := &Ring{active: active}
+	for number, secret := range secrets {
+		keys, err := derive(number, secret)
+		if err != nil {
+			return nil, err
+		}
+		ring.keys[number] = keys
+	}
+	if active >= MaxGenerations || ring.keys[active] == nil {
+		return nil, fmt.Errorf("active: %d is not one of the generations", active)
+	}
+	return ring, nil
+}
+
+func derive(number Generation, secret []byte) (*Keys, error) {
+	derived := make(map[string][]byte)
+	for purpose, size := range map[string]int{
+		"connection-id": blockKeySize, "tunnel": blockKeySize, "ticket": sha256.Size, "authority": sha256.Size,
+	} {
+		key, err := hkdf.Key(sha256.New, secret, nil, "orioledyke "+purpose, size)
+		if err != nil {
+			return nil, oops.Wrapf(err, "derive %s key", purpose)
+		}
+		derived[purpose] = key
+	}
+	block, err := aes.NewCipher(derived["connection-id"])
+	if err != nil {
+		return nil, oops.Wrap(err)
+	}
+	tunnelBlock, err := aes.NewCipher(derived["tunnel"])
+	if err != nil {
+		return nil, oops.Wrap(err)
+	}
+	aead, err := cipher.NewGCM(tunnelBlock)
+	if err != nil {
+		return nil, oops.Wrap(err)
+	}
+	return &Keys{
+		generation: number, connectionID: block, tunnel: aead,
+		ticket: derived["ticket"], authority: derived["authority"],
+	}, nil
+}
+
+// Active returns the keys of the active generation.
+func (r *Ring) Active() *Keys {
+	return r.keys[r.active]
+}
+
+// Keys returns the keys of generation g, or nil if the ring does not hold it.
+func (r *Ring) Keys(g Generation) *Keys {
+	if g >= MaxGenerations {
+		return nil
+	}
+	return r.keys[g]
+}
+
+// Generation returns the generation of k.
+func (k *Keys) Generation() Generation { return k.generation }
+
+// ConnectionID returns the cipher of connection IDs.
+func (k *Keys) ConnectionID() cipher.Block { return k.connectionID }
+
+// Tunnel returns the cipher of tunnel datagrams.
+func (k *Keys) Tunnel() cipher.AEAD { return k.tunnel }
+
+// Ticket returns the HMAC-SHA-256 key of request tickets.
+func (k *Keys) Ticket() []byte { return k.ticket }
+
+// Store holds the current key ring of a process. It is safe for concurrent use.
+type Store struct {
+	ring atomic.Pointer[Ring]
+}
+
+// NewStore returns a Store that holds ring.
+func NewStore(ring *Ring) *Store {
+	s := &Store{}
+	s.ring.Store(ring)
+	return s
+}
+
+// Ring returns the current key ring.
+func (s *Store) Ring() *Ring { return s.ring.Load() }
+
+// Replace makes ring the current key ring.
+func (s *Store) Replace(ring *Ring) { s.ring.Store(ring) }
--- /dev/null
+++ b/internal/control/contract/contract.go
@@ -0,0 +1,133 @@
+// Package contract models the contracts that operators write: one for each
+// customer, with its services, kinds of work and limits.
+package contract
+
+import (
+	"fmt"
+
+	"github.com/goccy/go-yaml"
+	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/common/identity"
+)
+
+// Contract is everything that the system knows about one customer. It is
+// immutable.
+type Contract struct {
+	document document
+}
+
+// Service is one address of a customer with its kinds of work.
+type Service struct {
+	customer string
+	document serviceDocument
+}
+
+// Kind is one kind of work of a service with its matcher and limits.
+type Kind struct {
+	document kindDocument
+}
+
+type document struct {
+	Customer string            `json:"customer" yaml:"customer"`
+	Services []serviceDocument `json:"services" yaml:"services"`
+}
+
+type serviceDocument struct {
+	Name  string         `json:"name" yaml:"name"`
+	Port  uint16         `json:"port" yaml:"port"`
+	Slots int            `json:"slots" yaml:"slots"`
+	Flows int            `json:"flows" yaml:"flows"`
+	Kinds []kindDocument `json:"kinds" yaml:"kinds"`
+}
+
+type kindDocument struct {
+	Name            string  `json:"name" yaml:"name"`
+	Method          string  `json:"method" yaml:"method"`
+	PathPrefix      string  `json:"path-prefix" yaml:"path-prefix"`
+	Urgency         int     `json:"urgency" yaml:"urgency"`
+	GuaranteedShare float64 `json:"guaranteed-share" yaml:"guaranteed-share"`
+	Ceiling         float64 `json:"ceiling" yaml:"ceiling"`
+	DeadlineMillis  int64   `json:"deadline-ms" yaml:"deadline-ms"`
+	Repeatable      bool    `json:"repeatable" yaml:"repeatable"`
+	Stream          bool    `json:"stream" yaml:"stream"`
+}
+
+// Parse reads a contract from YAML or JSON.
+func Parse(data []byte) (Contract, error) {
+	var c Contract
+	if err := yaml.UnmarshalWithOptions(data, &c.document, yaml.Strict()); err != nil {
+		return Contract{}, fmt.Errorf("contract: %w", err)
+	}
+	return c, nil
+}
+
+// Customer returns the name of the customer.
+func (c Contract) Customer() string { return c.document.Customer }
+
+// Services returns the services in the order of the contract.
+func (c Contract) Services() []Service {
+	services := make([]Service, len(c.document.Services))
+	for i, s := range c.document.Services {
+		services[i] = Service{customer: c.document.Customer, document: s}
+	}
+	return services
+}
+
+// ID returns the service's identifier in connection IDs and tunnel datagrams.
+func (s Service) ID() identity.ServiceID {
+	return identity.NewServiceID(s.customer, s.document.Name)
+}
+
+// Customer returns the name of the customer that owns the service.
+func (s Service) Customer() string { return s.customer }
+
+// Name returns the name, unique for the customer.
+func (s Service) Name() string { return s.document.Name }
+
+// Port returns the UDP port of the service at every entry address.
+func (s Service) Port() uint16 { return s.document.Port }
+
+// Slots returns how many requests each upstream works on at a time.
+func (s Service) Slots() int { return s.document.Slots }
+
+// Flows returns how many flows each sidecar holds at most.
+func (s Service) Flows() int { return s.document.Flows }
+
+// Kinds returns the kinds of work in the order of the contract, in which they
+// are matched.
+func (s Service) Kinds() []Kind {
+	kinds := make([]Kind, len(s.document.Kinds))
+	for i, k := range s.document.Kinds {
+		kinds[i] = Kind{document: k}
+	}
+	return kinds
+}
+
+// Name returns the name, unique for the service.
+func (k Kind) Name() string { return k.document.Name }
+
+// Method returns the HTTP method that the kind matches.
+func (k Kind) Method() string { return k.document.Method }
+
+// PathPrefix returns the prefix of paths that the kind matches.
+func (k Kind) PathPrefix() string { return k.document.PathPrefix }
+
+// Urgency orders kinds when slots are spare: the higher one goes first.
+func (k Kind) Urgency() int { return k.document.Urgency }
+
+// GuaranteedShare returns the fraction of slots that the kind always gets, from
+// 0 to 1.
+func (k Kind) GuaranteedShare() float64 { return k.document.GuaranteedShare }
+
+// Ceiling returns the highest fraction of slots that the kind may take, from 0
+// to 1.
+func (k Kind) Ceiling() float64 { return k.document.Ceiling }
+
+// Deadline returns how long a client waits for the response.
+func (k Kind) Deadline() clock.Millis { return clock.Millis(k.document.DeadlineMillis) }
+
+// Repeatable reports whether a request may run more than once.
+func (k Kind) Repeatable() bool { return k.document.Repeatable }
+
+// Stream reports whether the response stays open and takes no slot.
+func (k Kind) Stream() bool { return k.document.Stream }
--- /dev/null
+++ b/internal/sidecar/client/placement.go
@@ -0,0 +1,90 @@
+package client
+
+import (
+	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/common/identity"
+)
+
+const (
+	// handshakeRetention is how long the sidecar of a new flow is remembered. A
+	// handshake that takes longer has failed.
+	handshakeRetention = 10 * clock.Second
+	// maxHandshakes limits the memory that a flood of first packets can take.
+	maxHandshakes = 1 << 16
+	// relayMargin is the difference in open flows, in percent, from which a new
+	// flow goes to a sibling. Smaller differences are not worth a hop.
+	relayMargin = 10
+)
+
+// Load is what a sidecar tells its siblings about itself.
+type Load struct {
+	Leaving bool
+	Flows   int
+}
+
+// Placement decides which sidecar of a service takes a new flow. It is not safe
+// for concurrent use.
+type Placement struct {
+	self       identity.OwnerID
+	handshakes map[string]handshake
+	order      []string
+}
+
+type handshake struct {
+	owner identity.OwnerID
+	until clock.Millis
+}
+
+// NewPlacement returns the Placement of a sidecar.
+func NewPlacement(self identity.OwnerID) *Placement {
+	return &Placement{self: self, handshakes: map[string]handshake{}}
+}
+
+// Decide returns the sidecar that takes the flow whose client chose the given
+// connection ID. The answer stays the same while the handshake lasts, and until
+// then it does not depend on the loads.
+func (p *Placement) Decide(connectionID []byte, own Load, siblings map[identity.OwnerID]Load, now clock.Millis) identity.OwnerID {
+	key := string(connectionID)
+	if h, ok := p.handshakes[key]; ok && now < h.until {
+		return h.owner
+	}
+	p.expire(now)
+	owner := p.choose(own, siblings)
+	if len(p.handshakes) < maxHandshakes {
+		p.handshakes[key] = handshake{owner: owner, until: now + handshakeRetention}
+		p.order = append(p.order, key)
+	}
+	return owner
+}
+
+func (p *Placement) choose(own Load, siblings map[identity.OwnerID]Load) identity.OwnerID {
+	var best identity.OwnerID
+	bestFlows := 0
+	for owner, load := range siblings {
+		if load.Leaving {
+			continue
+		}
+		if best == 0 || load.Flows < bestFlows || load.Flows == bestFlows && owner < best {
+			best, bestFlows = owner, load.Flows
+		}
+	}
+	if best == 0 {
+		return p.self
+	}
+	if own.Leaving || own.Flows*100 > (bestFlows+1)*(100+relayMargin) {
+		return best
+	}
+	return p.self
+}
+
+// expire drops handshakes in the order in which they began, which is also the
+// order in which they end.
+func (p *Placement) expire(now clock.Millis) {
+	for len(p.order) > 0 {
+		if h, ok := p.handshakes[p.order[0]]; ok && now < h.until {
+			return
+		}
+		delete(p.handshakes, p.order[0])
+		p.order = p.order[1:]
+	}
+}
--- /dev/null
+++ b/internal/wire/quic/connectionid.go
@@ -0,0 +1,136 @@
+// Package quic reads the fields of QUIC packets that do not depend on the
+// version (RFC 8999), and encodes connection IDs that name their owner.
+package quic
+
+import (
+	"encoding/binary"
+
+	"github.com/orioledyke/orioledyke/internal/common/identity"
+	"github.com/orioledyke/orioledyke/internal/common/keyring"
+)
+
+const (
+	// ConnectionIDSize is the length of a connection ID that a sidecar issues.
+	ConnectionIDSize = 1 + blockSize
+
+	blockSize      = 16
+	generationBits = 3
+	generationLow  = 8 - generationBits
+	nonceOffset    = identity.ServiceIDSize + identity.OwnerIDSize
+)
+
+// ConnectionID is the decoded form of a connection ID that a sidecar issued.
+type ConnectionID struct {
+	service identity.ServiceID
+	owner   identity.OwnerID
+}
+
+// Service returns the service of the flow.
+func (c ConnectionID) Service() identity.ServiceID { return c.service }
+
+// Owner returns the sidecar that owns the flow.
+func (c ConnectionID) Owner() identity.OwnerID { return c.owner }
+
+// EncodeConnectionID returns the connection ID of a flow. The first byte holds
+// the key generation in its upper 3 bits and the lower 5 bits of random; the
+// other 16 bytes encrypt service, owner and the lower 40 bits of nonce. The
+// nonce must be unique for an owner.
+func EncodeConnectionID(keys *keyring.Keys, service identity.ServiceID, owner identity.OwnerID, nonce uint64, random byte) [ConnectionIDSize]byte {
+	var id [ConnectionIDSize]byte
+	id[0] = byte(keys.Generation())<<generationLow | random&(1<<generationLow-1)
+	block := id[1:]
+	identity.PutUint40(block, uint64(service))
+	identity.PutUint48(block[identity.ServiceIDSize:], uint64(owner))
+	identity.PutUint40(block[nonceOffset:], nonce)
+	keys.ConnectionID().Encrypt(block, block)
+	return id
+}
+
+// Decoder decodes connection IDs without allocating. It is not safe for
+// concurrent use.
+type Decoder struct {
+	block [blockSize]byte
+}
+
+// Decode decodes the first 17 bytes of id. It reports false if id is shorter or
+// if the ring does not hold its generation. A connection ID that a client chose
+// decodes to a random service and owner, which the caller must compare with the
+// expected ones.
+func (d *Decoder) Decode(ring *keyring.Ring, id []byte) (ConnectionID, bool) {
+	if len(id) < ConnectionIDSize {
+		return ConnectionID{}, false
+	}
+	keys := ring.Keys(keyring.Generation(id[0] >> generationLow))
+	if keys == nil {
+		return ConnectionID{}, false
+	}
+	keys.ConnectionID().Decrypt(d.block[:], id[1:ConnectionIDSize])
+	return ConnectionID{
+		service: identity.ServiceID(identity.GetUint40(d.block[:])),
+		owner:   identity.OwnerID(identity.GetUint48(d.block[identity.ServiceIDSize:])),
+	}, true
+}
+
+const (
+	headerFormLong    = 0x80
+	longTypeMask      = 0x30
+	longTypeInitialV1 = 0x00
+	longTypeZeroRTTV1 = 0x10
+	longTypeInitialV2 = 0x10
+	longTypeZeroRTTV2 = 0x20
+	version1          = 0x00000001
+	version2          = 0x6b3343cf
+	longFixedSize     = 6
+	// maxConnectionIDSize is the limit of QUIC versions 1 and 2.
+	maxConnectionIDSize = 20
+)
+
+// Header holds the fields of a packet that routing needs.
+type Header struct {
+	destination []byte
+	long        bool
+	first       bool
+}
+
+// Destination returns the destination connection ID, a part of the datagram. In
+// a short header its length is unknown, and it is 17 bytes.
+func (h Header) Destination() []byte { return h.destination }
+
+// Long reports whether the packet has a long header.
+func (h Header) Long() bool { return h.long }
+
+// First reports whether the destination connection ID may have been chosen by
+// the client: an Initial or 0-RTT packet, or a packet of an unknown version.
+func (h Header) First() bool { return h.first }
+
+// ParseHeader reads the header of the first packet in a datagram. It reports
+// false if the datagram is not a QUIC packet.
+func ParseHeader(datagram []byte) (Header, bool) {
+	if len(datagram) < 1+ConnectionIDSize {
+		return Header{}, false
+	}
+	if datagram[0]&headerFormLong == 0 {
+		return Header{destination: datagram[1 : 1+ConnectionIDSize]}, true
+	}
+	size := int(datagram[longFixedSize-1])
+	if size > maxConnectionIDSize || len(datagram) < longFixedSize+size {
+		return Header{}, false
+	}
+	version := binary.BigEndian.Uint32(datagram[1:])
+	return Header{
+		destination: datagram[longFixedSize : longFixedSize+size],
+		long:        true,
+		first:       clientChosen(version, datagram[0]&longTypeMask),
+	}, true
+}
+
+func clientChosen(version uint32, packetType byte) bool {
+	switch version {
+	case version1:
+		return packetType == longTypeInitialV1 || packetType == longTypeZeroRTTV1
+	case version2:
+		return packetType == longTypeInitialV2 || packetType == longTypeZeroRTTV2
+	default:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/wire/tunnel/tunnel.go
@@ -0,0 +1,130 @@
+// Package tunnel encodes the datagrams that balancers and sidecars exchange.
+package tunnel
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"sync/atomic"
+
+	"github.com/orioledyke/orioledyke/internal/common/identity"
+	"github.com/orioledyke/orioledyke/internal/common/keyring"
+	"github.com/samber/oops"
+)
+
+// Layout of a datagram: version and type (1 byte), key generation (1), sender
+// ID (6), sender's counter (6); then encrypted: flags (1), service ID (5), owner
+// ID (6), client address (16) and port (2), payload; last the 16-byte tag.
+const (
+	version        = 1
+	clearSize      = 14
+	nonceOffset    = 2
+	nonceSize      = 12
+	innerSize      = 30
+	tagSize        = 16
+	counterBits    = 48
+	generationByte = 1
+
+	// HeaderSize is the number of bytes in front of the payload.
+	HeaderSize = clearSize + innerSize
+	// Overhead is the number of bytes that a datagram adds to its payload.
+	Overhead = HeaderSize + tagSize
+	// MaxPayload limits the payload so that a datagram fits an Ethernet frame.
+	MaxPayload = 1412
+)
+
+// Type tells what a datagram carries.
+type Type uint8
+
+// Types of datagrams.
+const (
+	// TypeInbound carries a client's datagram to a sidecar.
+	TypeInbound Type = 1
+	// TypeOutbound carries a sidecar's datagram to a client.
+	TypeOutbound Type = 2
+	// TypeLoad carries the load of a sidecar to a sibling.
+	TypeLoad Type = 3
+)
+
+// Flags modify the treatment of a datagram.
+type Flags uint8
+
+const (
+	// FlagRelay asks the receiver to pass the datagram to its owner, because the
+	// sender does not know the owner's address.
+	FlagRelay Flags = 1 << iota
+	// FlagRelayed marks a datagram that a sibling passed on. It is not passed on
+	// again.
+	FlagRelayed
+)
+
+// Header describes a datagram.
+type Header struct {
+	Type    Type
+	Flags   Flags
+	Service identity.ServiceID
+	Owner   identity.OwnerID
+	Client  netip.AddrPort
+}
+
+// ErrInvalid is returned for a datagram that was not sealed by a holder of the
+// key ring.
+var ErrInvalid = oops.Code("tunnel-datagram-invalid").Errorf("tunnel datagram is malformed or not authentic")
+
+// Sealer encodes datagrams of one process. It is safe for concurrent use.
+type Sealer struct {
+	sender  identity.OwnerID
+	counter atomic.Uint64
+}
+
+// NewSealer returns a Sealer. The sender must be unique to this run of the
+// process, because sender and counter form the nonce.
+func NewSealer(sender identity.OwnerID) *Sealer {
+	return &Sealer{sender: sender}
+}
+
+// Seal encodes a datagram into buffer, whose payload already stands at
+// HeaderSize and is size bytes long. The buffer needs a capacity of size plus
+// Overhead. It returns the complete datagram.
+func (s *Sealer) Seal(keys *keyring.Keys, h Header, buffer []byte, size int) []byte {
+	buffer = buffer[:HeaderSize+size]
+	buffer[0] = version<<4 | byte(h.Type)
+	buffer[generationByte] = byte(keys.Generation())
+	identity.PutUint48(buffer[nonceOffset:], uint64(s.sender))
+	identity.PutUint48(buffer[nonceOffset+identity.OwnerIDSize:], s.counter.Add(1)&(1<<counterBits-1))
+	inner := buffer[clearSize:HeaderSize]
+	inner[0] = byte(h.Flags)
+	identity.PutUint40(inner[1:], uint64(h.Service))
+	identity.PutUint48(inner[6:], uint64(h.Owner))
+	address := h.Client.Addr().As16()
+	copy(inner[12:], address[:])
+	binary.BigEndian.PutUint16(inner[28:], h.Client.Port())
+	nonce := buffer[nonceOffset : nonceOffset+nonceSize]
+	sealed := keys.Tunnel().Seal(buffer[clearSize:clearSize], nonce, buffer[clearSize:], buffer[:clearSize])
+	return buffer[:clearSize+len(sealed)]
+}
+
+// Open decodes a datagram in place. The payload is a part of datagram. The error
+// is ErrInvalid.
+func Open(ring *keyring.Ring, datagram []byte) (Header, []byte, error) {
+	if len(datagram) < Overhead || datagram[0]>>4 != version {
+		return Header{}, nil, ErrInvalid
+	}
+	keys := ring.Keys(keyring.Generation(datagram[generationByte]))
+	if keys == nil {
+		return Header{}, nil, ErrInvalid
+	}
+	nonce := datagram[nonceOffset : nonceOffset+nonceSize]
+	inner, err := keys.Tunnel().Open(datagram[clearSize:clearSize], nonce, datagram[clearSize:], datagram[:clearSize])
+	if err != nil {
+		return Header{}, nil, ErrInvalid
+	}
+	address := netip.AddrFrom16([16]byte(inner[12:28])).Unmap()
+	h := Header{
+		Type:    Type(datagram[0] & 0x0f),
+		Flags:   Flags(inner[0]),
+		Service: identity.ServiceID(identity.GetUint40(inner[1:])),
+		Owner:   identity.OwnerID(identity.GetUint48(inner[6:])),
+		Client:  netip.AddrPortFrom(address, binary.BigEndian.Uint16(inner[28:])),
+	}
+	return h, inner[innerSize:], nil
+}
