--- a/internal/sidecar/client/conn.go
+++ b/internal/sidecar/client/conn.go
@@ -16,7 +16,6 @@
 	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/internal/common/identity"
 	"github.com/orioledyke/orioledyke/internal/common/keyring"
-	"github.com/orioledyke/orioledyke/internal/wire/quic"
 	"github.com/orioledyke/orioledyke/internal/wire/tunnel"
 )
 
@@ -51,16 +50,16 @@
 // Conn is a net.PacketConn that carries the QUIC packets of clients over the
 // tunnel. Addresses are those of clients.
 type Conn struct {
-	config    ConnConfig
-	sealer    *tunnel.Sealer
-	paths     *Paths
-	placement *Placement
-	inbound   chan inboundDatagram
-	buffers   sync.Pool
-	ctx       context.Context
-	cancel    context.CancelFunc
-	counters  Counters
-	done      sync.WaitGroup
+	config     ConnConfig
+	sealer     *tunnel.Sealer
+	paths      *Paths
+	dispatcher *Dispatcher
+	inbound    chan inboundDatagram
+	buffers    sync.Pool
+	ctx        context.Context
+	cancel     context.CancelFunc
+	counters   Counters
+	done       sync.WaitGroup
 }
 
 // Counters count datagrams of a Conn.
@@ -77,14 +76,16 @@
 func NewConn(ctx context.Context, config ConnConfig) *Conn {
 	ctx, cancel := context.WithCancel(ctx)
 	c := &Conn{
-		config:    config,
-		sealer:    tunnel.NewSealer(config.Self),
-		paths:     NewPaths(),
-		placement: NewPlacement(config.Self),
-		inbound:   make(chan inboundDatagram, inboundQueue),
-		buffers:   sync.Pool{New: func() any { b := make([]byte, datagramSize); return &b }},
-		ctx:       ctx,
-		cancel:    cancel,
+		config: config,
+		sealer: tunnel.NewSealer(config.Self),
+		paths:  NewPaths(),
+		dispatcher: NewDispatcher(DispatcherConfig{
+			Self: config.Self, Service: config.Service, Load: config.Load, Siblings: config.Siblings,
+		}),
+		inbound: make(chan inboundDatagram, inboundQueue),
+		buffers: sync.Pool{New: func() any { b := make([]byte, datagramSize); return &b }},
+		ctx:     ctx,
+		cancel:  cancel,
 	}
 	// The kernel limits the size silently; a smaller buffer is not an error.
 	_ = config.Tunnel.SetReadBuffer(tunnelBuffers)
@@ -115,63 +116,32 @@
 }
 
 func (c *Conn) handle(datagram []byte, from netip.AddrPort) {
-	header, payload, err := tunnel.Open(c.config.Keys.Ring(), datagram)
+	ring := c.config.Keys.Ring()
+	header, payload, err := tunnel.Open(ring, datagram)
 	if err != nil {
 		c.counters.Invalid.Add(1)
 		return
 	}
-	if header.Service != c.config.Service {
-		c.counters.Misdirected.Add(1)
-		return
-	}
-	if header.Type != tunnel.TypeInbound {
-		if header.Owner == c.config.Self && c.config.Received != nil {
-			c.config.Received(header, from, payload)
-		}
-		return
-	}
 	via := from
-	if header.Flags&tunnel.FlagRelayed != 0 {
+	if header.Type == tunnel.TypeInbound && header.Flags&tunnel.FlagRelayed != 0 {
 		if via, payload, err = cutVia(payload); err != nil {
 			c.counters.Invalid.Add(1)
 			return
 		}
 	}
-	c.handleInbound(header, via, payload)
-}
-
-func (c *Conn) handleInbound(header tunnel.Header, via netip.AddrPort, payload []byte) {
-	owner := header.Owner
-	if owner == c.config.Self && header.Flags&tunnel.FlagRelayed == 0 {
-		owner = c.place(payload)
-	}
-	switch {
-	case owner == c.config.Self:
+	decision := c.dispatcher.Dispatch(ring, header, payload, c.config.Clock.Now())
+	switch decision.Verdict {
+	case Deliver:
 		c.deliver(header.Client, via, payload)
-	case header.Flags&tunnel.FlagRelayed != 0:
-		c.counters.Misdirected.Add(1)
-	case header.Owner == c.config.Self || header.Flags&tunnel.FlagRelay != 0:
-		c.relay(header, owner, via, payload)
+	case Relay:
+		c.relay(header, decision.Owner, via, payload)
+	case Receive:
+		c.config.Received(header, from, payload)
 	default:
-		// The address belonged to another process before.
 		c.counters.Misdirected.Add(1)
 	}
 }
 
-// place returns the owner of a datagram that a balancer sent to this sidecar:
-// another sidecar only for the first packets of a new flow.
-func (c *Conn) place(payload []byte) identity.OwnerID {
-	header, ok := quic.ParseHeader(payload)
-	if !ok || !header.First() {
-		return c.config.Self
-	}
-	var decoder quic.Decoder
-	if id, ok := decoder.Decode(c.config.Keys.Ring(), header.Destination()); ok && id.Service() == c.config.Service {
-		return c.config.Self
-	}
-	return c.placement.Decide(header.Destination(), c.config.Load(), c.config.Siblings(), c.config.Clock.Now())
-}
-
 func (c *Conn) deliver(client, via netip.AddrPort, payload []byte) {
 	c.paths.Heard(client, via, c.config.Clock.Now())
 	buffer := *c.buffers.Get().(*[]byte)
--- /dev/null
+++ b/internal/sidecar/client/dispatch.go
@@ -0,0 +1,110 @@
+package client
+
+import (
+	"sync"
+
+	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/common/identity"
+	"github.com/orioledyke/orioledyke/internal/common/keyring"
+	"github.com/orioledyke/orioledyke/internal/wire/quic"
+	"github.com/orioledyke/orioledyke/internal/wire/tunnel"
+)
+
+// Verdict tells what happens to a datagram from the tunnel.
+type Verdict uint8
+
+// Verdicts about a datagram from the tunnel.
+const (
+	// DropMisdirected means that the datagram was for another process, such as
+	// one that had this address before.
+	DropMisdirected Verdict = iota
+	// Deliver means that the QUIC stack of this sidecar gets the packet.
+	Deliver
+	// Relay means that the datagram is passed on to the sibling Owner.
+	Relay
+	// Receive means that the datagram is a message for this sidecar itself.
+	Receive
+)
+
+// Dispatch is the decision about one datagram.
+type Dispatch struct {
+	Verdict Verdict
+	Owner   identity.OwnerID
+}
+
+// DispatcherConfig configures a Dispatcher.
+type DispatcherConfig struct {
+	Self    identity.OwnerID
+	Service identity.ServiceID
+	// Load returns the load of this sidecar.
+	Load func() Load
+	// Siblings returns the loads of the other sidecars of the service.
+	Siblings func() map[identity.OwnerID]Load
+}
+
+// Dispatcher decides about datagrams from the tunnel. It is safe for concurrent
+// use.
+type Dispatcher struct {
+	config    DispatcherConfig
+	mutex     sync.Mutex
+	placement *Placement
+}
+
+// NewDispatcher returns a Dispatcher.
+func NewDispatcher(config DispatcherConfig) *Dispatcher {
+	return &Dispatcher{config: config, placement: NewPlacement(config.Self)}
+}
+
+// Dispatch decides about an authentic datagram with the given QUIC packet. A
+// datagram is passed on at most once.
+func (d *Dispatcher) Dispatch(ring *keyring.Ring, header tunnel.Header, packet []byte, now clock.Millis) Dispatch {
+	if header.Service != d.config.Service {
+		return Dispatch{Verdict: DropMisdirected}
+	}
+	mine := header.Owner == d.config.Self
+	switch {
+	case header.Type != tunnel.TypeInbound:
+		if mine && header.Type == tunnel.TypeLoad {
+			return Dispatch{Verdict: Receive}
+		}
+		return Dispatch{Verdict: DropMisdirected}
+	case header.Flags&tunnel.FlagRelayed != 0:
+		if mine {
+			return Dispatch{Verdict: Deliver}
+		}
+		return Dispatch{Verdict: DropMisdirected}
+	case mine:
+		return d.place(ring, packet, now)
+	case header.Flags&tunnel.FlagRelay != 0:
+		return Dispatch{Verdict: Relay, Owner: header.Owner}
+	default:
+		return Dispatch{Verdict: DropMisdirected}
+	}
+}
+
+// place finds the owner of a datagram that a balancer sent to this sidecar:
+// another sidecar only for the first packets of a new flow.
+func (d *Dispatcher) place(ring *keyring.Ring, packet []byte, now clock.Millis) Dispatch {
+	header, ok := quic.ParseHeader(packet)
+	if !ok {
+		return Dispatch{Verdict: DropMisdirected}
+	}
+	var decoder quic.Decoder
+	id, ok := decoder.Decode(ring, header.Destination())
+	if ok && id.Service() == d.config.Service {
+		if id.Owner() != d.config.Self {
+			return Dispatch{Verdict: DropMisdirected}
+		}
+		return Dispatch{Verdict: Deliver}
+	}
+	if !header.First() {
+		return Dispatch{Verdict: DropMisdirected}
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	owner := d.placement.Decide(header.Destination(), d.config.Load(), d.config.Siblings(), now)
+	if owner == d.config.Self {
+		return Dispatch{Verdict: Deliver}
+	}
+	return Dispatch{Verdict: Relay, Owner: owner}
+}
