--- a/internal/balancer/client/bench_test.go
+++ b/internal/balancer/client/bench_test.go
@@ -37,7 +37,7 @@
 	return conn
 }
 
-func newBench(c *qt.C, ctx context.Context, services, members int) *bench {
+func newBench(ctx context.Context, c *qt.C, services, members int) *bench {
 	ring, err := keyring.New(0, map[keyring.Generation][]byte{0: make([]byte, keyring.SecretSize)})
 	c.Assert(err, qt.IsNil)
 	b := &bench{client: listenLoopback(c), entry: listenLoopback(c), sidecar: listenLoopback(c)}
@@ -89,7 +89,7 @@
 	c := qt.New(b)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	bench := newBench(c, ctx, 1, 10)
+	bench := newBench(ctx, c, 1, 10)
 	relayIn, forwardIn := newBatch(tunnel.HeaderSize, tunnel.MaxPayload), newBatch(tunnel.HeaderSize, tunnel.MaxPayload)
 	target := bench.sidecar.LocalAddr().(*net.UDPAddr).AddrPort()
 	out := make([]ipv4.Message, 0, batchSize)
