balancer: Replace paths to sidecars that stay silent

Cause: something between balancer and sidecar can lose track of their sockets; datagrams are then lost for good although a new socket would work. Change: each path is probed after one second without an answer and moves to another socket after three; a sidecar answers probes at once. Ruled out: probing idle paths, because 500 balancers times 4,700 sidecars do not fit the control budget; only paths with unanswered traffic are probed. Conclusion: detection within 3 s of the first unanswered datagram.

--- a/internal/balancer/client/bench_test.go
+++ b/internal/balancer/client/bench_test.go
@@ -9,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/orioledyke/orioledyke/internal/balancer/routing"
+	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/internal/common/identity"
 	"github.com/orioledyke/orioledyke/internal/common/keyring"
 	"github.com/orioledyke/orioledyke/internal/wire/quic"
@@ -49,10 +50,11 @@
 			Tunnel: target, Weight: routing.MaxWeight,
 		}
 	}
-	b.forwarder = NewForwarder(ctx, Config{
+	b.forwarder, err = NewForwarder(ctx, Config{
 		Entry: loopback, Tunnel: listenLoopback(c), Self: identity.NewOwnerID(),
-		Keys: keyring.NewStore(ring), Logged: func(string, error) {},
+		Keys: keyring.NewStore(ring), Clock: clock.System(), Logged: func(string, error) {},
 	})
+	c.Assert(err, qt.IsNil)
 	b.forwarder.SetTable(routing.NewTable().With(all, nil))
 	service := all[0].Service
 	b.socket = &socket{service: service, conn: b.entry, packets: ipv4.NewPacketConn(b.entry)}
@@ -93,6 +95,7 @@
 	relayIn, forwardIn := newBatch(tunnel.HeaderSize, tunnel.MaxPayload), newBatch(tunnel.HeaderSize, tunnel.MaxPayload)
 	target := bench.sidecar.LocalAddr().(*net.UDPAddr).AddrPort()
 	out := make([]ipv4.Message, 0, batchSize)
+	output := bench.forwarder.newOutput()
 	router := &routing.Router{}
 	relay := func() int {
 		n, _ := bench.socket.packets.ReadBatch(relayIn.messages, 0)
@@ -100,13 +103,13 @@
 		for i := range n {
 			out = append(out, relayIn.reply(i, relayIn.buffers[i][tunnel.HeaderSize:tunnel.HeaderSize+relayIn.messages[i].N], target))
 		}
-		bench.forwarder.send(bench.forwarder.tunnel, out)
+		bench.forwarder.send(bench.forwarder.links[0].packets, out)
 		return n
 	}
 	forward := func() int {
 		n, _ := bench.socket.packets.ReadBatch(forwardIn.messages, 0)
-		out = bench.forwarder.sealBatch(bench.socket, router, forwardIn, n, out[:0])
-		bench.forwarder.send(bench.forwarder.tunnel, out)
+		bench.forwarder.sealBatch(bench.socket, router, forwardIn, n, output)
+		bench.forwarder.sendToSidecars(output)
 		return n
 	}
 	var relayTime, forwardTime time.Duration
--- a/internal/balancer/client/forwarder.go
+++ b/internal/balancer/client/forwarder.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 
 	"github.com/orioledyke/orioledyke/internal/balancer/routing"
+	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/internal/common/identity"
 	"github.com/orioledyke/orioledyke/internal/common/keyring"
 	"github.com/orioledyke/orioledyke/internal/wire/tunnel"
@@ -20,7 +21,9 @@
 
 const (
 	// batchSize is the number of datagrams for one system call.
-	batchSize   = 64
+	batchSize = 64
+	// spareLinks is the number of sockets to which silent paths move in turn.
+	spareLinks  = 2
 	bufferSize  = tunnel.HeaderSize + tunnel.MaxPayload + tunnel.Overhead
 	socketBytes = 4 << 20
 )
@@ -32,22 +35,26 @@
 	// Tunnel is the socket towards sidecars. The Forwarder closes it.
 	Tunnel *net.UDPConn
 	// Self names this run of the balancer.
-	Self identity.OwnerID
-	Keys *keyring.Store
+	Self  identity.OwnerID
+	Keys  *keyring.Store
+	Clock clock.Clock
 	// Logged receives errors of the sockets that do not end the Forwarder.
 	Logged func(event string, err error)
 }
 
 // Forwarder owns the sockets of a balancer's data path.
 type Forwarder struct {
-	config  Config
-	sealer  *tunnel.Sealer
-	tunnel  *ipv4.PacketConn
-	table   atomic.Pointer[routing.Table]
-	reasons [routing.ReasonCount]atomic.Uint64
-	invalid atomic.Uint64
-	inbound atomic.Uint64
-	outward atomic.Uint64
+	config Config
+	sealer *tunnel.Sealer
+	// links are the sockets towards sidecars: Config.Tunnel first, then spares
+	// for paths on which the first one is silent.
+	links    []*tunnelSocket
+	table    atomic.Pointer[routing.Table]
+	reasons  [routing.ReasonCount]atomic.Uint64
+	invalid  atomic.Uint64
+	inbound  atomic.Uint64
+	outward  atomic.Uint64
+	replaced atomic.Uint64
 
 	mutex   sync.RWMutex
 	sockets map[identity.ServiceID]*socket
@@ -55,6 +62,11 @@
 	done    sync.WaitGroup
 }
 
+type tunnelSocket struct {
+	conn    *net.UDPConn
+	packets *ipv4.PacketConn
+}
+
 type socket struct {
 	service identity.ServiceID
 	port    uint16
@@ -64,22 +76,43 @@
 
 // NewForwarder starts to receive from sidecars. Clients are served after
 // SetServices. The Forwarder ends with ctx; Wait returns when it has.
-func NewForwarder(ctx context.Context, config Config) *Forwarder {
+func NewForwarder(ctx context.Context, config Config) (*Forwarder, error) {
 	f := &Forwarder{
 		config:  config,
 		sealer:  tunnel.NewSealer(config.Self),
-		tunnel:  ipv4.NewPacketConn(config.Tunnel),
 		sockets: map[identity.ServiceID]*socket{},
 		ctx:     ctx,
 	}
 	f.table.Store(routing.NewTable())
-	enlargeBuffers(config.Tunnel)
-	f.done.Go(f.receiveFromSidecars)
+	f.addLink(config.Tunnel)
+	local := config.Tunnel.LocalAddr().(*net.UDPAddr)
+	for range spareLinks {
+		conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: local.IP, Zone: local.Zone})
+		if err != nil {
+			f.closeLinks()
+			return nil, oops.Code("tunnel-address-unavailable").Wrapf(err, "open a spare tunnel socket")
+		}
+		f.addLink(conn)
+	}
+	for _, link := range f.links {
+		f.done.Go(func() { f.receiveFromSidecars(link) })
+	}
 	f.done.Go(func() {
 		<-ctx.Done()
 		f.close()
 	})
-	return f
+	return f, nil
+}
+
+func (f *Forwarder) addLink(conn *net.UDPConn) {
+	enlargeBuffers(conn)
+	f.links = append(f.links, &tunnelSocket{conn: conn, packets: ipv4.NewPacketConn(conn)})
+}
+
+func (f *Forwarder) closeLinks() {
+	for _, link := range f.links {
+		_ = link.conn.Close()
+	}
 }
 
 // Wait returns when every goroutine of the Forwarder has ended.
@@ -103,6 +136,9 @@
 // Outbound returns how many datagrams were sent to clients.
 func (f *Forwarder) Outbound() uint64 { return f.outward.Load() }
 
+// Replaced returns how many silent paths to sidecars were replaced.
+func (f *Forwarder) Replaced() uint64 { return f.replaced.Load() }
+
 // SetServices opens sockets for new services and closes those of services that
 // are gone or have another port. A port that cannot be opened is reported and
 // leaves the other services as they are.
@@ -143,7 +179,7 @@
 func (f *Forwarder) close() {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	_ = f.config.Tunnel.Close()
+	f.closeLinks()
 	for _, s := range f.sockets {
 		_ = s.conn.Close()
 	}
@@ -157,7 +193,7 @@
 
 func (f *Forwarder) receiveFromClients(s *socket) {
 	in := newBatch(tunnel.HeaderSize, tunnel.MaxPayload)
-	out := make([]ipv4.Message, 0, batchSize)
+	out := f.newOutput()
 	router := &routing.Router{}
 	for {
 		n, err := s.packets.ReadBatch(in.messages, 0)
@@ -168,13 +204,31 @@
 			continue
 		}
 		f.inbound.Add(uint64(n))
-		out = f.sealBatch(s, router, in, n, out[:0])
-		f.send(f.tunnel, out)
+		f.sealBatch(s, router, in, n, out)
+		f.sendToSidecars(out)
 	}
 }
 
-func (f *Forwarder) sealBatch(s *socket, router *routing.Router, in *batch, n int, out []ipv4.Message) []ipv4.Message {
-	table, ring := f.table.Load(), f.config.Keys.Ring()
+// newOutput returns a list of messages for each tunnel socket.
+func (f *Forwarder) newOutput() [][]ipv4.Message {
+	out := make([][]ipv4.Message, len(f.links))
+	for i := range out {
+		out[i] = make([]ipv4.Message, 0, batchSize)
+	}
+	return out
+}
+
+func (f *Forwarder) sendToSidecars(out [][]ipv4.Message) {
+	for i, messages := range out {
+		if len(messages) > 0 {
+			f.send(f.links[i].packets, messages)
+			out[i] = messages[:0]
+		}
+	}
+}
+
+func (f *Forwarder) sealBatch(s *socket, router *routing.Router, in *batch, n int, out [][]ipv4.Message) {
+	table, ring, now := f.table.Load(), f.config.Keys.Ring(), f.config.Clock.Now()
 	keys := ring.Active()
 	for i := range n {
 		size := in.messages[i].N
@@ -192,16 +246,40 @@
 			Type: tunnel.TypeInbound, Flags: decision.Flags, Service: s.service,
 			Owner: decision.Owner, Client: source.AddrPort(),
 		}
-		out = append(out, in.reply(i, f.sealer.Seal(keys, header, buffer, size), decision.Target))
+		f.watchLink(decision, s.service, now)
+		link := decision.Link.Socket() % uint32(len(f.links))
+		out[link] = append(out[link], in.reply(i, f.sealer.Seal(keys, header, buffer, size), decision.Target))
 	}
-	return out
 }
 
-func (f *Forwarder) receiveFromSidecars() {
+// watchLink records a sent datagram. A relayed one is answered by its owner and
+// not over the link that carried it, so it tells nothing about that link.
+func (f *Forwarder) watchLink(decision routing.Decision, service identity.ServiceID, now clock.Millis) {
+	if decision.Reason == routing.ToRelay {
+		return
+	}
+	switch decision.Link.Sent(now) {
+	case routing.LinkProbe:
+		f.probe(decision, service)
+	case routing.LinkReplaced:
+		f.replaced.Add(1)
+	}
+}
+
+// probe asks the sidecar for a reply on its link.
+func (f *Forwarder) probe(decision routing.Decision, service identity.ServiceID) {
+	header := tunnel.Header{Type: tunnel.TypeProbe, Service: service, Owner: decision.Owner, Client: decision.Target}
+	datagram := f.sealer.Seal(f.config.Keys.Ring().Active(), header, make([]byte, tunnel.Overhead), 0)
+	link := f.links[decision.Link.Socket()%uint32(len(f.links))]
+	// A probe that is lost is repeated with the traffic.
+	_, _ = link.conn.WriteToUDPAddrPort(datagram, decision.Target)
+}
+
+func (f *Forwarder) receiveFromSidecars(link *tunnelSocket) {
 	in := newBatch(0, bufferSize)
 	var run []ipv4.Message
 	for {
-		n, err := f.tunnel.ReadBatch(in.messages, 0)
+		n, err := link.packets.ReadBatch(in.messages, 0)
 		if err != nil {
 			if f.ended(err) {
 				return
@@ -215,14 +293,20 @@
 // openBatch sends the datagrams of a batch to their clients, with one system
 // call for each run of datagrams of the same service.
 func (f *Forwarder) openBatch(in *batch, n int, run []ipv4.Message) []ipv4.Message {
-	ring := f.config.Keys.Ring()
+	ring, table := f.config.Keys.Ring(), f.table.Load()
 	var current *socket
 	for i := range n {
 		header, payload, err := tunnel.Open(ring, in.buffers[i][:in.messages[i].N])
-		if err != nil || header.Type != tunnel.TypeOutbound {
+		if err != nil {
 			f.invalid.Add(1)
 			continue
 		}
+		if m, ok := table.Member(header.Owner); ok {
+			m.Link().Heard()
+		}
+		if header.Type != tunnel.TypeOutbound {
+			continue
+		}
 		s := f.socket(header.Service)
 		if s == nil {
 			continue
--- a/internal/balancer/routing/route.go
+++ b/internal/balancer/routing/route.go
@@ -43,6 +43,8 @@
 	Owner  identity.OwnerID
 	Target netip.AddrPort
 	Flags  tunnel.Flags
+	// Link is the path to Target; nil if the datagram is dropped.
+	Link *Link
 }
 
 // Forward reports whether the datagram is sent to Target.
@@ -70,7 +72,7 @@
 		return Decision{Reason: DropNoMember}
 	}
 	m := s.place(header.Destination())
-	return Decision{Reason: ToPlaced, Owner: m.Owner, Target: m.Tunnel}
+	return Decision{Reason: ToPlaced, Owner: m.Owner, Target: m.Tunnel, Link: m.link}
 }
 
 func toOwner(table *Table, id identity.ServiceID, owner identity.OwnerID, connectionID []byte) Decision {
@@ -79,11 +81,12 @@
 		if m.Service != id {
 			return Decision{Reason: DropForeignConnectionID}
 		}
-		return Decision{Reason: ToOwner, Owner: owner, Target: m.Tunnel}
+		return Decision{Reason: ToOwner, Owner: owner, Target: m.Tunnel, Link: m.link}
 	}
 	s, ok := table.services[id]
 	if !ok {
 		return Decision{Reason: DropNoMember}
 	}
-	return Decision{Reason: ToRelay, Owner: owner, Target: s.place(connectionID).Tunnel, Flags: tunnel.FlagRelay}
+	m := s.place(connectionID)
+	return Decision{Reason: ToRelay, Owner: owner, Target: m.Tunnel, Flags: tunnel.FlagRelay, Link: m.link}
 }
--- a/internal/balancer/routing/routing_test.go
+++ b/internal/balancer/routing/routing_test.go
@@ -63,7 +63,9 @@
 	table := NewTable().With(members[:4], nil)
 	for i := range 3 {
 		decision := router.Route(table, ring, owner.Service, packet)
-		c.Check(decision, qt.Equals, Decision{Reason: ToOwner, Owner: owner.Owner, Target: owner.Tunnel})
+		known, _ := table.Member(owner.Owner)
+		want := Decision{Reason: ToOwner, Owner: owner.Owner, Target: owner.Tunnel, Link: known.Link()}
+		c.Check(decision, qt.Equals, want)
 		owner.Weight = 0
 		table = table.With([]Member{owner, members[4+i]}, []identity.OwnerID{members[i].Owner})
 	}
@@ -160,6 +162,30 @@
 	c.Check(ok, qt.IsFalse)
 }
 
+// TestSilentLinkIsReplaced guards against a path to a sidecar that stays silent
+// for good while new ones would work, and against probes on paths that answer.
+func TestSilentLinkIsReplaced(t *testing.T) {
+	c := qt.New(t)
+	members := testMembers(1, 1)
+	table := NewTable().With(members, nil)
+	known, _ := table.Member(members[0].Owner)
+	link := known.Link()
+	c.Check(link.Sent(0), qt.Equals, LinkNone)
+	c.Check(link.Sent(linkProbeAfter-1), qt.Equals, LinkNone)
+	c.Check(link.Sent(linkProbeAfter), qt.Equals, LinkProbe)
+	c.Check(link.Sent(linkProbeAfter+1), qt.Equals, LinkNone)
+	c.Check(link.Sent(linkProbeAfter+linkProbeInterval), qt.Equals, LinkProbe)
+	c.Check(link.Sent(linkSilentAfter), qt.Equals, LinkReplaced)
+	c.Check(link.Socket(), qt.Equals, uint32(1))
+	c.Check(link.Sent(linkSilentAfter+1), qt.Equals, LinkNone)
+	link.Heard()
+	c.Check(link.Sent(10*linkSilentAfter), qt.Equals, LinkNone)
+	// A change of the member keeps the state of its link.
+	members[0].Weight = 1
+	changed, _ := table.With(members, nil).Member(members[0].Owner)
+	c.Check(changed.Link(), qt.Equals, link)
+}
+
 // BenchmarkRoute measures one decision. The target is under 250 ns without
 // allocation at 1,300 services and 4,700 members.
 func BenchmarkRoute(b *testing.B) {
--- a/internal/balancer/routing/table.go
+++ b/internal/balancer/routing/table.go
@@ -32,8 +32,14 @@
 	Tunnel  netip.AddrPort
 	// Weight is 0 for a member that receives no new flows and at most MaxWeight.
 	Weight int
+
+	link *Link
 }
 
+// Link returns the state of the path to the member, which outlives changes of
+// the member. It is nil for a member that is in no table.
+func (m Member) Link() *Link { return m.link }
+
 // Table is an immutable set of members. Tables share the parts that did not
 // change.
 type Table struct {
@@ -72,8 +78,10 @@
 		}
 	}
 	for _, m := range changed {
+		m.link = &Link{}
 		if old, ok := next.members[m.Owner]; ok {
 			affected[old.Service] = true
+			m.link = old.link
 		}
 		affected[m.Service] = true
 		next.members[m.Owner] = m
--- a/internal/sidecar/client/conn.go
+++ b/internal/sidecar/client/conn.go
@@ -137,6 +137,9 @@
 		c.relay(header, decision.Owner, via, payload)
 	case Receive:
 		c.config.Received(header, from, payload)
+	case Answer:
+		// A reply that is lost is asked for again.
+		_ = c.Send(tunnel.TypeProbeReply, c.config.Self, from, nil)
 	default:
 		c.counters.Misdirected.Add(1)
 	}
@@ -174,8 +177,8 @@
 	c.counters.Relayed.Add(1)
 }
 
-// SendToSibling sends payload in a datagram of the given type.
-func (c *Conn) SendToSibling(kind tunnel.Type, owner identity.OwnerID, target netip.AddrPort, payload []byte) error {
+// Send sends payload in a datagram of the given type, which names owner.
+func (c *Conn) Send(kind tunnel.Type, owner identity.OwnerID, target netip.AddrPort, payload []byte) error {
 	buffer := make([]byte, len(payload)+tunnel.Overhead)
 	copy(buffer[tunnel.HeaderSize:], payload)
 	header := tunnel.Header{Type: kind, Service: c.config.Service, Owner: owner, Client: target}
--- a/internal/sidecar/client/dispatch.go
+++ b/internal/sidecar/client/dispatch.go
@@ -24,6 +24,8 @@
 	Relay
 	// Receive means that the datagram is a message for this sidecar itself.
 	Receive
+	// Answer means that the sender gets a reply to its probe.
+	Answer
 )
 
 // Dispatch is the decision about one datagram.
@@ -64,10 +66,7 @@
 	mine := header.Owner == d.config.Self
 	switch {
 	case header.Type != tunnel.TypeInbound:
-		if mine && header.Type == tunnel.TypeLoad {
-			return Dispatch{Verdict: Receive}
-		}
-		return Dispatch{Verdict: DropMisdirected}
+		return message(mine, header.Type)
 	case header.Flags&tunnel.FlagRelayed != 0:
 		if mine {
 			return Dispatch{Verdict: Deliver}
@@ -82,6 +81,17 @@
 	}
 }
 
+func message(mine bool, kind tunnel.Type) Dispatch {
+	switch {
+	case mine && kind == tunnel.TypeLoad:
+		return Dispatch{Verdict: Receive}
+	case mine && kind == tunnel.TypeProbe:
+		return Dispatch{Verdict: Answer}
+	default:
+		return Dispatch{Verdict: DropMisdirected}
+	}
+}
+
 // place finds the owner of a datagram that a balancer sent to this sidecar:
 // another sidecar only for the first packets of a new flow.
 func (d *Dispatcher) place(ring *keyring.Ring, packet []byte, now clock.Millis) Dispatch {
--- a/internal/sidecar/client/dispatch_test.go
+++ b/internal/sidecar/client/dispatch_test.go
@@ -55,6 +55,8 @@
 		{"other service in connection ID", tunnel.Header{Type: tunnel.TypeInbound, Service: testService, Owner: testSelf}, assigned(71, testSelf), DropMisdirected},
 		{"relayed for another", tunnel.Header{Type: tunnel.TypeInbound, Flags: tunnel.FlagRelayed, Service: testService, Owner: 9}, own, DropMisdirected},
 		{"load for another", tunnel.Header{Type: tunnel.TypeLoad, Service: testService, Owner: 9}, nil, DropMisdirected},
+		{"probe", tunnel.Header{Type: tunnel.TypeProbe, Service: testService, Owner: testSelf}, nil, Answer},
+		{"probe for another", tunnel.Header{Type: tunnel.TypeProbe, Service: testService, Owner: 9}, nil, DropMisdirected},
 		{"outbound datagram", tunnel.Header{Type: tunnel.TypeOutbound, Service: testService, Owner: testSelf}, own, DropMisdirected},
 	} {
 		got := newTestDispatcher(Load{}, nil).Dispatch(ring, test.header, test.packet, 0)
--- a/internal/sidecar/client/path_test.go
+++ b/internal/sidecar/client/path_test.go
@@ -114,10 +114,11 @@
 	for range balancerCount {
 		balancerCtx, stop := context.WithCancel(ctx)
 		stops = append(stops, stop)
-		f := balancer.NewForwarder(balancerCtx, balancer.Config{
-			Entry: loopback, Tunnel: listen(c), Self: identity.NewOwnerID(), Keys: keys,
+		f, err := balancer.NewForwarder(balancerCtx, balancer.Config{
+			Entry: loopback, Tunnel: listen(c), Self: identity.NewOwnerID(), Keys: keys, Clock: clock.System(),
 			Logged: func(string, error) {},
 		})
+		c.Assert(err, qt.IsNil)
 		f.SetTable(table)
 		port := freePort(c)
 		c.Assert(f.SetServices(map[identity.ServiceID]uint16{service: port}), qt.IsNil)
--- a/internal/wire/tunnel/tunnel.go
+++ b/internal/wire/tunnel/tunnel.go
@@ -43,6 +43,10 @@
 	TypeOutbound Type = 2
 	// TypeLoad carries the load of a sidecar to a sibling.
 	TypeLoad Type = 3
+	// TypeProbe asks a sidecar for a TypeProbeReply to the sending socket.
+	TypeProbe Type = 4
+	// TypeProbeReply tells a balancer that its path to the sidecar works.
+	TypeProbeReply Type = 5
 )
 
 // Flags modify the treatment of a datagram.
