control: Add membership state machines and their gRPC runtime

Cause: balancers and sidecars need members, contracts and reachability within 8 KB/s for each node, and other packages build on this API. Change: internal/control/membership decides, internal/control/peer does the I/O. control.proto: digests are refined by 64 buckets for each data centre, answers to heartbeats carry the balancers that may watch the sender, tombstones their age, and sync messages whether the sender holds the complete state. Ruled out: sending a whole data centre when its digest differs, about 50 KB at the target for one differing record; gRPC keepalive to find silent connections, because grpc-go raises client intervals below 10 s to 10 s, so the state machine closes streams that were silent for 3.5 s and opens new connections; a fresh 10-minute lifetime for each tombstone received, with which neighbours would keep each other's tombstones forever. Two loopback tests pass.

--- /dev/null
+++ b/internal/control/membership/sidecar.go
@@ -0,0 +1,188 @@
+package membership
+
+import (
+	"cmp"
+	"maps"
+	"net/netip"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/common/identity"
+	"github.com/orioledyke/orioledyke/internal/wire/controlpb"
+)
+
+// Sidecar is the state machine of a sidecar's part in membership: it announces
+// itself to its watchers and learns its siblings and its customer's contract
+// from them. Methods must not run concurrently.
+type Sidecar struct {
+	self       Record
+	announcer  *announcer
+	candidates []netip.AddrPort
+	seeds      []netip.AddrPort
+	siblings   map[identity.OwnerID]Record
+	contracts  *Contracts
+	complete   bool
+	ticked     clock.Millis
+	seedsAsked clock.Millis
+	lastStream StreamID
+}
+
+// NewSidecar returns the state machine of the member self.
+func NewSidecar(now clock.Millis, self Record) *Sidecar {
+	s := &Sidecar{
+		self: self, siblings: map[identity.OwnerID]Record{}, contracts: NewContracts(),
+		ticked: now, seedsAsked: now - seedsInterval,
+	}
+	s.announcer = newAnnouncer(func() StreamID {
+		s.lastStream++
+		return s.lastStream
+	})
+	return s
+}
+
+// Self returns the own record.
+func (s *Sidecar) Self() Record { return s.self }
+
+// Ready reports whether a watcher has sent its complete state.
+func (s *Sidecar) Ready() bool { return s.complete }
+
+// Siblings returns the other members of the service that have not ended, in
+// order of their IDs.
+func (s *Sidecar) Siblings() []Record {
+	siblings := make([]Record, 0, len(s.siblings))
+	for _, r := range s.siblings {
+		if !r.State().Gone() {
+			siblings = append(siblings, r)
+		}
+	}
+	slices.SortFunc(siblings, func(a, b Record) int { return cmp.Compare(a.ID(), b.ID()) })
+	return siblings
+}
+
+// Contract returns the contract of the own customer.
+func (s *Sidecar) Contract() (Contract, bool) { return s.contracts.Get(s.self.Customer()) }
+
+// SetSelf changes state and weight of the own record.
+func (s *Sidecar) SetSelf(now clock.Millis, state State, weight int) Actions {
+	if state != s.self.State() || weight != s.self.Weight() {
+		s.self = s.self.withState(state).withWeight(weight).withVersion(s.self.Version() + 1)
+		s.announcer.hurry(now)
+	}
+	return s.Tick(now)
+}
+
+// Seeds sets the addresses to try when no balancer is known.
+func (s *Sidecar) Seeds(now clock.Millis, addresses []netip.AddrPort) Actions {
+	s.seeds = slices.Clone(addresses)
+	// Sidecars try the seeds in different orders, which spreads the load.
+	slices.SortFunc(s.seeds, func(a, b netip.AddrPort) int {
+		return cmp.Compare(s.seedScore(a), s.seedScore(b))
+	})
+	return s.Tick(now)
+}
+
+func (s *Sidecar) seedScore(a netip.AddrPort) uint64 {
+	return score(uint64(s.self.ID()), identity.OwnerID(xxhash.Sum64String(a.String())))
+}
+
+// Tick does what is due at the given time.
+func (s *Sidecar) Tick(now clock.Millis) Actions {
+	var out Actions
+	if now-s.ticked > pauseThreshold {
+		s.announcer.postpone(now)
+	}
+	s.ticked = now
+	s.announcer.backoff.forget(now)
+	s.announcer.tick(now, s.self, slices.Concat(s.candidates, s.seeds), &out)
+	if !s.announcer.connected() && now >= s.seedsAsked+seedsInterval {
+		s.seedsAsked = now
+		out.WantSeeds = true
+	}
+	return out
+}
+
+// Closed tells that a stream failed.
+func (s *Sidecar) Closed(now clock.Millis, stream StreamID) Actions {
+	s.announcer.closed(now, stream, s.self)
+	return s.Tick(now)
+}
+
+// Receive takes an answer from a watcher.
+func (s *Sidecar) Receive(now clock.Millis, stream StreamID, m *controlpb.AnnounceResponse) Actions {
+	var out Actions
+	from := s.announcer.heard(now, stream, m.GetVersion())
+	if from == nil {
+		return out
+	}
+	for _, member := range m.GetMembers() {
+		if r, err := ParseMember(member); err == nil {
+			s.receiveMember(now, from, r, &out)
+		}
+	}
+	for _, c := range m.GetContracts() {
+		contract := Contract{Customer: c.GetCustomer(), Revision: c.GetRevision(), Document: c.GetDocument()}
+		if contract.Customer == s.self.Customer() && s.contracts.Put(contract) {
+			out.Contracts = append(out.Contracts, contract)
+		}
+	}
+	s.receiveBalancers(m.GetBalancers())
+	if m.GetComplete() && !from.complete {
+		s.completed(from, &out)
+	}
+	return out
+}
+
+func (s *Sidecar) receiveMember(now clock.Millis, from *announceStream, r Record, out *Actions) {
+	if r.ID() == s.self.ID() {
+		if r.Beats(s.self) {
+			s.self = s.self.withVersion(r.Version() + 1)
+			s.announcer.hurry(now)
+		}
+		return
+	}
+	if r.Role() != RoleSidecar || r.ServiceID() != s.self.ServiceID() {
+		return
+	}
+	if !from.complete {
+		from.seen[r.ID()] = struct{}{}
+	}
+	if old, ok := s.siblings[r.ID()]; !ok || r.Beats(old) {
+		s.siblings[r.ID()] = r
+		out.SiblingsChanged = true
+	}
+}
+
+func (s *Sidecar) receiveBalancers(members []*controlpb.Member) {
+	if len(members) == 0 {
+		return
+	}
+	s.candidates = s.candidates[:0]
+	for _, m := range members {
+		if r, err := ParseMember(m); err == nil && r.Control().IsValid() {
+			s.candidates = append(s.candidates, r.Control())
+		}
+	}
+}
+
+// completed drops siblings that no complete watcher knows: the only stream may
+// have been down for longer than tombstones are kept.
+func (s *Sidecar) completed(from *announceStream, out *Actions) {
+	known := from.seen
+	alone := true
+	for _, other := range s.announcer.streams {
+		alone = alone && !other.complete
+	}
+	from.complete, from.seen = true, nil
+	s.complete = true
+	if !alone {
+		return
+	}
+	maps.DeleteFunc(s.siblings, func(id identity.OwnerID, _ Record) bool {
+		_, ok := known[id]
+		if !ok {
+			out.SiblingsChanged = true
+		}
+		return !ok
+	})
+}
--- /dev/null
+++ b/internal/control/peer/balancer.go
@@ -0,0 +1,236 @@
+package peer
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/common/identity"
+	"github.com/orioledyke/orioledyke/internal/common/keyring"
+	"github.com/orioledyke/orioledyke/internal/control/membership"
+	"github.com/orioledyke/orioledyke/internal/wire/controlpb"
+	"github.com/samber/oops"
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	// The state machine closes silent streams; these pings only find
+	// connections on which no stream is left.
+	pingInterval = 2 * time.Second
+	pingTimeout  = 1500 * time.Millisecond
+)
+
+// BalancerConfig holds what a Balancer needs. Callbacks run one after the
+// other, without locks; nil ones are left out.
+type BalancerConfig struct {
+	// Self needs ID, data centre, host, tunnel and control address.
+	Self     membership.RecordConfig
+	Keys     *keyring.Store
+	Clock    clock.Clock
+	Listener net.Listener
+	// Seeds returns control addresses of balancers. It is called at the start,
+	// while no neighbour is connected, and every minute by readers.
+	Seeds func(context.Context) ([]netip.AddrPort, error)
+	// OnMembers receives sidecars that were added or changed, and those that
+	// ended. The weight of a member that should get no new flows is 0.
+	OnMembers  func(changed []membership.Record, removed []identity.OwnerID)
+	OnContract func(customer string, revision uint64, document []byte)
+	// OnReader is called when the balancer becomes or stops being a reader of
+	// the platform.
+	OnReader func(bool)
+	Logger   *zap.Logger
+}
+
+// Balancer runs a balancer's part in membership and contract distribution.
+type Balancer struct {
+	controlpb.UnimplementedControlServer
+
+	config  BalancerConfig
+	runtime *runtime
+	machine *membership.Balancer
+	server  *grpc.Server
+}
+
+// NewBalancer starts a Balancer, which serves on the listener until ctx ends.
+// Then it tells its peers that it left and closes the listener.
+func NewBalancer(ctx context.Context, config BalancerConfig) (*Balancer, error) {
+	config.Self.Role = membership.RoleBalancer
+	if config.Self.ID == 0 || !config.Self.Control.IsValid() || config.Self.DataCentre == "" {
+		return nil, oops.Code("peer-config-invalid").Errorf("balancer: want ID, data centre and control address")
+	}
+	if config.Keys == nil || config.Listener == nil {
+		return nil, oops.Code("peer-config-invalid").Errorf("balancer: want keys and listener")
+	}
+	b := &Balancer{config: config, runtime: newRuntime(ctx, config.Keys, config.Clock, config.Seeds, config.Logger)}
+	b.machine = membership.NewBalancer(config.Clock.Now(), newSelf(config.Self))
+	r := b.runtime
+	r.onSeeds, r.onClosed, r.onAnswer = b.machine.Seeds, b.machine.Closed, b.machine.Answered
+	r.onSync, r.onTick = b.machine.Receive, b.machine.Tick
+	r.queueActions = b.queueActions
+	b.server = grpc.NewServer(
+		grpc.Creds(credentials.NewTLS(config.Keys.TLS(protocolName))),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingInterval, Timeout: pingTimeout}),
+	)
+	controlpb.RegisterControlServer(b.server, b)
+	r.tasks.Go(func() {
+		if err := b.server.Serve(config.Listener); err != nil && r.ctx.Err() == nil {
+			r.logger.Error("control-server-stopped", zap.Error(err))
+		}
+	})
+	r.tasks.Go(func() {
+		<-r.ctx.Done()
+		b.server.Stop()
+	})
+	r.start(ctx, func() { b.SetState(membership.StateLeft) })
+	return b, nil
+}
+
+func newSelf(config membership.RecordConfig) membership.Record {
+	config.Version = max(config.Version, 1)
+	if config.State == 0 {
+		config.State = membership.StateJoining
+	}
+	return membership.NewRecord(config)
+}
+
+func (b *Balancer) queueActions(actions membership.Actions) {
+	if b.config.OnMembers != nil && len(actions.Changed)+len(actions.Removed) > 0 {
+		b.runtime.later(func() { b.config.OnMembers(actions.Changed, actions.Removed) })
+	}
+	for _, c := range actions.Contracts {
+		if b.config.OnContract != nil {
+			b.runtime.later(func() { b.config.OnContract(c.Customer, c.Revision, c.Document) })
+		}
+	}
+	if b.config.OnReader != nil && actions.Reader != nil {
+		b.runtime.later(func() { b.config.OnReader(*actions.Reader) })
+	}
+}
+
+// PublishContract distributes a contract read from the platform. Revisions that
+// are not higher than the one held are ignored.
+func (b *Balancer) PublishContract(customer string, revision uint64, document []byte) {
+	c := membership.Contract{Customer: customer, Revision: revision, Document: document}
+	b.runtime.step(func(now clock.Millis) membership.Actions { return b.machine.Publish(now, c) })
+}
+
+// MarkComplete tells that all contracts of the platform were published, even if
+// there are none.
+func (b *Balancer) MarkComplete() { b.runtime.step(b.machine.MarkComplete) }
+
+// SetState announces a new state of this balancer.
+func (b *Balancer) SetState(state membership.State) {
+	b.runtime.step(func(now clock.Millis) membership.Actions { return b.machine.SetState(now, state) })
+}
+
+// Ready reports whether a peer has sent its complete state, or no peer is ahead
+// of this balancer and the contracts were published.
+func (b *Balancer) Ready() bool {
+	b.runtime.mu.Lock()
+	defer b.runtime.mu.Unlock()
+	return b.machine.Ready()
+}
+
+// Contracts returns the revisions held, in alphabetical order of customers.
+func (b *Balancer) Contracts() []*controlpb.ContractStatus {
+	b.runtime.mu.Lock()
+	defer b.runtime.mu.Unlock()
+	return b.machine.Contracts().Status()
+}
+
+// Wait returns when everything has ended after the context ended.
+func (b *Balancer) Wait() { b.runtime.tasks.Wait() }
+
+// Announce serves the stream of a watched member.
+func (b *Balancer) Announce(s controlpb.Control_AnnounceServer) error {
+	return b.serve(s.Context(), nil, transport{
+		send:    func(m proto.Message) error { return s.Send(m.(*controlpb.AnnounceResponse)) },
+		receive: func() (proto.Message, error) { return s.Recv() },
+		end:     func() error { return io.EOF },
+	}, b.heartbeat)
+}
+
+// Sync serves the stream of a neighbour.
+func (b *Balancer) Sync(s controlpb.Control_SyncServer) error {
+	return b.serve(s.Context(), b.machine.Accepted, transport{
+		send:    func(m proto.Message) error { return s.Send(m.(*controlpb.SyncMessage)) },
+		receive: func() (proto.Message, error) { return s.Recv() },
+		end:     func() error { return io.EOF },
+	}, func(now clock.Millis, id membership.StreamID, m proto.Message) membership.Actions {
+		return b.machine.Receive(now, id, m.(*controlpb.SyncMessage))
+	})
+}
+
+// Status returns what this balancer holds. Members are left out if the request
+// names a customer.
+func (b *Balancer) Status(_ context.Context, request *controlpb.StatusRequest) (*controlpb.StatusResponse, error) {
+	b.runtime.mu.Lock()
+	defer b.runtime.mu.Unlock()
+	return b.machine.Status(request.GetCustomer()), nil
+}
+
+func (b *Balancer) heartbeat(now clock.Millis, id membership.StreamID, m proto.Message) membership.Actions {
+	response, actions, err := b.machine.Announce(now, id, m.(*controlpb.AnnounceRequest))
+	if err != nil {
+		b.runtime.logger.Warn("heartbeat-invalid", zap.Error(err))
+		actions.Close = append(actions.Close, id)
+		return actions
+	}
+	b.runtime.post(id, response)
+	return actions
+}
+
+type receiver func(now clock.Millis, id membership.StreamID, m proto.Message) membership.Actions
+
+// serve runs a stream that a peer opened. The handler returns when the state
+// machine closes the stream, even if a message cannot be sent.
+func (b *Balancer) serve(ctx context.Context, accepted func(clock.Millis, membership.StreamID) membership.Actions, t transport, receive receiver) error {
+	r := b.runtime
+	r.mu.Lock()
+	if r.leaving {
+		r.mu.Unlock()
+		return context.Canceled
+	}
+	id := b.machine.NextStream()
+	ctx, s := r.add(ctx, id)
+	if accepted != nil {
+		r.apply(accepted(r.clock.Now(), id))
+	}
+	r.mu.Unlock()
+	err := pump(ctx, s, t, func(m proto.Message) {
+		r.step(func(now clock.Millis) membership.Actions { return receive(now, id, m) })
+	})
+	r.remove(id, s, err)
+	return nil
+}
+
+// Status asks a balancer for everything that it holds.
+func Status(ctx context.Context, keys *keyring.Store, address netip.AddrPort) (*controlpb.StatusResponse, error) {
+	return status(ctx, keys, address, &controlpb.StatusRequest{})
+}
+
+// ContractStatus asks a balancer for the revision that it holds of a customer's
+// contract. The response contains no members.
+func ContractStatus(ctx context.Context, keys *keyring.Store, address netip.AddrPort, customer string) (*controlpb.StatusResponse, error) {
+	return status(ctx, keys, address, &controlpb.StatusRequest{Customer: customer})
+}
+
+func status(ctx context.Context, keys *keyring.Store, address netip.AddrPort, request *controlpb.StatusRequest) (*controlpb.StatusResponse, error) {
+	conn, err := dial(keys, address)
+	if err != nil {
+		return nil, oops.Code("status-unavailable").Wrapf(err, "%s", address)
+	}
+	defer conn.Close()
+	response, err := controlpb.NewControlClient(conn).Status(ctx, request)
+	if err != nil {
+		return nil, oops.Code("status-unavailable").Wrapf(err, "%s", address)
+	}
+	return response, nil
+}
--- /dev/null
+++ b/internal/control/peer/peer_test.go
@@ -0,0 +1,166 @@
+package peer_test
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/common/identity"
+	"github.com/orioledyke/orioledyke/internal/common/keyring"
+	"github.com/orioledyke/orioledyke/internal/control/membership"
+	"github.com/orioledyke/orioledyke/internal/control/peer"
+)
+
+// eventBuffer is larger than the number of events of any test, so that a
+// callback never blocks.
+const eventBuffer = 1024
+
+type contractEvent struct {
+	customer string
+	revision uint64
+	document string
+}
+
+type balancerNode struct {
+	*peer.Balancer
+	address   netip.AddrPort
+	stop      context.CancelFunc
+	contracts chan contractEvent
+	members   chan []membership.Record
+	removed   chan identity.OwnerID
+	readers   chan bool
+}
+
+type sidecarNode struct {
+	*peer.Sidecar
+	stop      context.CancelFunc
+	siblings  chan []membership.Record
+	contracts chan contractEvent
+}
+
+func keys(c *qt.C, fill byte) *keyring.Store {
+	ring, err := keyring.New(0, map[keyring.Generation][]byte{0: bytes.Repeat([]byte{fill}, keyring.SecretSize)})
+	c.Assert(err, qt.IsNil)
+	return keyring.NewStore(ring)
+}
+
+func seeds(addresses ...netip.AddrPort) func(context.Context) ([]netip.AddrPort, error) {
+	return func(context.Context) ([]netip.AddrPort, error) { return addresses, nil }
+}
+
+func startBalancer(c *qt.C, id identity.OwnerID, store *keyring.Store, known ...netip.AddrPort) *balancerNode {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	n := &balancerNode{
+		address:   listener.Addr().(*net.TCPAddr).AddrPort(),
+		contracts: make(chan contractEvent, eventBuffer),
+		members:   make(chan []membership.Record, eventBuffer),
+		removed:   make(chan identity.OwnerID, eventBuffer),
+		readers:   make(chan bool, eventBuffer),
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	n.stop = stop
+	n.Balancer, err = peer.NewBalancer(ctx, peer.BalancerConfig{
+		Self: membership.RecordConfig{
+			ID: id, DataCentre: "agassiz", Host: "host", Control: n.address, State: membership.StateServing,
+		},
+		Keys: store, Clock: clock.System(), Listener: listener, Seeds: seeds(known...),
+		OnMembers: func(changed []membership.Record, removed []identity.OwnerID) {
+			n.members <- changed
+			for _, id := range removed {
+				n.removed <- id
+			}
+		},
+		OnContract: func(customer string, revision uint64, document []byte) {
+			n.contracts <- contractEvent{customer, revision, string(document)}
+		},
+		OnReader: func(reader bool) { n.readers <- reader },
+	})
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() {
+		stop()
+		n.Wait()
+	})
+	return n
+}
+
+func startSidecar(c *qt.C, id identity.OwnerID, store *keyring.Store, known ...netip.AddrPort) *sidecarNode {
+	n := &sidecarNode{siblings: make(chan []membership.Record, eventBuffer), contracts: make(chan contractEvent, eventBuffer)}
+	ctx, stop := context.WithCancel(context.Background())
+	n.stop = stop
+	var err error
+	n.Sidecar, err = peer.NewSidecar(ctx, peer.SidecarConfig{
+		Self: membership.RecordConfig{
+			ID: id, DataCentre: "agassiz", Tunnel: netip.MustParseAddrPort("127.0.0.1:4000"),
+			Customer: "ferncliff-willow", Service: "bundle-desk",
+		},
+		Keys: store, Clock: clock.System(), Seeds: seeds(known...),
+		OnSiblings: func(siblings []membership.Record) { n.siblings <- siblings },
+		OnContract: func(customer string, revision uint64, document []byte) {
+			n.contracts <- contractEvent{customer, revision, string(document)}
+		},
+	})
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() {
+		stop()
+		n.Wait()
+	})
+	return n
+}
+
+// until receives events until one satisfies the condition.
+func until[T any](events <-chan T, satisfied func(T) bool) {
+	for !satisfied(<-events) {
+	}
+}
+
+// TestContractReachesEveryProcess guards against a process that is left out of
+// the distribution, and a stop that peers do not hear of.
+func TestContractReachesEveryProcess(t *testing.T) {
+	c := qt.New(t)
+	store := keys(c, 1)
+	first := startBalancer(c, 1, store)
+	c.Assert(<-first.readers, qt.IsTrue)
+	first.PublishContract("ferncliff-willow", 3, []byte("{}"))
+	c.Assert(<-first.contracts, qt.Equals, contractEvent{"ferncliff-willow", 3, "{}"})
+	second := startBalancer(c, 2, store, first.address)
+	third := startBalancer(c, 3, store, first.address)
+	for _, n := range []*balancerNode{second, third} {
+		c.Assert(<-n.contracts, qt.Equals, contractEvent{"ferncliff-willow", 3, "{}"})
+	}
+
+	a := startSidecar(c, 101, store, second.address)
+	b := startSidecar(c, 102, store, third.address)
+	c.Assert(<-a.contracts, qt.Equals, contractEvent{"ferncliff-willow", 3, "{}"})
+	c.Assert(<-b.contracts, qt.Equals, contractEvent{"ferncliff-willow", 3, "{}"})
+	b.Announce(membership.StateServing, 16)
+	until(a.siblings, func(siblings []membership.Record) bool {
+		return len(siblings) == 1 && siblings[0].ID() == 102 && siblings[0].Weight() == 16
+	})
+	third.PublishContract("ferncliff-willow", 2, []byte("old"))
+	third.PublishContract("ferncliff-willow", 4, []byte("new"))
+	c.Assert(<-a.contracts, qt.Equals, contractEvent{"ferncliff-willow", 4, "new"})
+
+	b.stop()
+	for _, n := range []*balancerNode{first, second, third} {
+		c.Assert(<-n.removed, qt.Equals, identity.OwnerID(102))
+	}
+	until(a.siblings, func(siblings []membership.Record) bool { return len(siblings) == 0 })
+}
+
+// TestStrangerIsRefused guards against a process without the key ring that
+// reads the state or takes part.
+func TestStrangerIsRefused(t *testing.T) {
+	c := qt.New(t)
+	node := startBalancer(c, 1, keys(c, 1))
+	node.MarkComplete()
+	status, err := peer.Status(context.Background(), keys(c, 1), node.address)
+	c.Assert(err, qt.IsNil)
+	c.Assert(status.GetMembers(), qt.HasLen, 1)
+	_, err = peer.Status(context.Background(), keys(c, 2), node.address)
+	c.Assert(err, qt.ErrorMatches, ".*certificate signed by unknown authority.*")
+}
