settings: Check files as a whole and together

Cause: the library's decoder stops at the first fault, and a missing key, a name in capitals or two keys with one address were accepted. Change: a decoder over the syntax tree that collects every fault with file, line, key and what is allowed; the required key role; LoadFile, CheckFiles and CheckPorts; keyring.Ring.Equal to compare key rings of several processes. New keys: reload-interval and traces.sample-ratio. Ruled out: decoding with yaml.Strict and validating afterwards, because it loses the line of a value and every fault after the first. A shared entry address on two hosts is allowed, because the fabric may route one address to all balancers. Conclusion: a process can refuse its settings before it opens anything.

--- a/internal/common/keyring/keyring.go
+++ b/internal/common/keyring/keyring.go
@@ -6,6 +6,7 @@
 	"crypto/aes"
 	"crypto/cipher"
 	"crypto/hkdf"
+	"crypto/hmac"
 	"crypto/sha256"
 	"encoding/base64"
 	"fmt"
@@ -152,6 +153,23 @@
 	return r.keys[g]
 }
 
+// Equal reports whether both rings hold the same secrets in the same generations
+// and have the same active generation.
+func (r *Ring) Equal(other *Ring) bool {
+	if r.active != other.active {
+		return false
+	}
+	for i, keys := range r.keys {
+		if (keys == nil) != (other.keys[i] == nil) {
+			return false
+		}
+		if keys != nil && !hmac.Equal(keys.authority, other.keys[i].authority) {
+			return false
+		}
+	}
+	return true
+}
+
 // Generation returns the generation of k.
 func (k *Keys) Generation() Generation { return k.generation }
 
--- /dev/null
+++ b/internal/common/settings/check.go
@@ -0,0 +1,97 @@
+package settings
+
+import (
+	"crypto/tls"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"strings"
+)
+
+// keyed is an address and the key that gives it.
+type keyed struct {
+	key     string
+	address netip.AddrPort
+}
+
+// listening returns the addresses that the process listens on.
+func (p *Process) listening() []keyed {
+	return []keyed{
+		{"tunnel-address", p.TunnelAddress},
+		{"control-address", p.ControlAddress},
+		{"observe-address", p.ObserveAddress},
+	}
+}
+
+// overlap reports whether two processes on one host cannot both have their
+// address.
+func overlap(a, b netip.AddrPort) bool {
+	if !a.IsValid() || !b.IsValid() || a.Port() != b.Port() {
+		return false
+	}
+	x, y := a.Addr().Unmap(), b.Addr().Unmap()
+	return x == y || x.IsUnspecified() || y.IsUnspecified()
+}
+
+func distinct(source source, addresses []keyed) Faults {
+	var faults Faults
+	for i, a := range addresses {
+		for _, b := range addresses[:i] {
+			if overlap(a.address, b.address) {
+				faults = append(faults, source.fault(a.key,
+					fmt.Sprintf("%s is also the address of %s; want a different address for each key", a.address, b.key)))
+				break
+			}
+		}
+	}
+	return faults
+}
+
+func (p *Process) checkRole(want Role) Faults {
+	if p.Role == want || (p.Role != RoleBalancer && p.Role != RoleSidecar) {
+		return nil
+	}
+	return Faults{p.source.fault("role", fmt.Sprintf("%q is not allowed; want %s for this command", p.Role, want))}
+}
+
+func (b *Balancer) check() Faults {
+	faults := append(b.checkRole(RoleBalancer), distinct(b.source, b.listening())...)
+	if b.source.lines["platform.address"] == 0 {
+		// A balancer may be one of the two that watch the platform for its data
+		// centre, so seeds alone are not enough.
+		faults = append(faults, b.source.fault("platform.address", "missing; want "+wants["url"]))
+	}
+	return faults
+}
+
+func (s *Sidecar) check() Faults {
+	addresses := s.listening()
+	if u, err := url.Parse(s.UpstreamURL); err == nil {
+		if upstream, err := netip.ParseAddrPort(u.Host); err == nil {
+			addresses = append(addresses, keyed{"upstream-url", upstream})
+		}
+	}
+	faults := append(s.checkRole(RoleSidecar), distinct(s.source, addresses)...)
+	if s.source.lines["platform.address"] == 0 && len(s.Seeds) == 0 {
+		faults = append(faults, s.source.fault("platform.address", "missing; want "+wants["url"]+", or the key seeds"))
+	}
+	return append(faults, s.checkCertificate()...)
+}
+
+// checkCertificate reports a certificate and private key that do not belong
+// together. Files that cannot be read are reported by their own rule.
+func (s *Sidecar) checkCertificate() Faults {
+	certificate, err := readLimited(s.CertificateFile)
+	if err != nil {
+		return nil
+	}
+	privateKey, err := readLimited(s.PrivateKeyFile)
+	if err != nil {
+		return nil
+	}
+	if _, err := tls.X509KeyPair(certificate, privateKey); err != nil {
+		problem := strings.TrimPrefix(err.Error(), "tls: ")
+		return Faults{s.source.fault("certificate-file", problem+"; want a PEM certificate chain that belongs to private-key-file")}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/common/settings/files.go
@@ -0,0 +1,175 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+
+	"github.com/orioledyke/orioledyke/internal/common/keyring"
+)
+
+// File is a checked settings file of either role.
+type File struct {
+	balancer *Balancer
+	sidecar  *Sidecar
+}
+
+// Balancer returns the settings of a balancer, or nil.
+func (f File) Balancer() *Balancer { return f.balancer }
+
+// Sidecar returns the settings of a sidecar, or nil.
+func (f File) Sidecar() *Sidecar { return f.sidecar }
+
+// Process returns the settings that every role has.
+func (f File) Process() *Process {
+	if f.balancer != nil {
+		return &f.balancer.Process
+	}
+	return &f.sidecar.Process
+}
+
+// CheckPorts reports the addresses of the process that cannot be opened.
+func (f File) CheckPorts() Faults {
+	if f.balancer != nil {
+		return CheckPorts(*f.balancer)
+	}
+	return CheckPorts(*f.sidecar)
+}
+
+// LoadFile reads settings of the role that the file names. The error is of type
+// Faults.
+func LoadFile(path string) (File, error) {
+	data, faults := read(path)
+	if len(faults) > 0 {
+		return File{}, faults
+	}
+	file, faults := parseFile(path, data)
+	if len(faults) > 0 {
+		return File{}, faults
+	}
+	return file, nil
+}
+
+func parseFile(path string, data []byte) (File, Faults) {
+	var head struct {
+		Role Role `yaml:"role" rule:"role,required"`
+	}
+	d := decoder{source: source{file: path, lines: map[string]int{}}}
+	d.decode(data, &head)
+	if d.malformed {
+		return File{}, d.faults
+	}
+	switch head.Role {
+	case RoleBalancer:
+		settings, faults := parse[Balancer](path, data)
+		return File{balancer: &settings}, faults
+	case RoleSidecar:
+		settings, faults := parse[Sidecar](path, data)
+		return File{sidecar: &settings}, faults
+	}
+	// Without a role the other keys cannot be checked.
+	for _, fault := range d.faults {
+		if fault.Key == "role" {
+			return File{}, Faults{fault}
+		}
+	}
+	return File{}, d.faults
+}
+
+// CheckFiles reads and checks settings files of several processes, each for
+// itself and all together. It returns the files without faults of their own.
+// The error is of type Faults.
+func CheckFiles(paths []string) ([]File, error) {
+	var files []File
+	var faults Faults
+	for _, path := range paths {
+		file, err := LoadFile(path)
+		var own Faults
+		if errors.As(err, &own) {
+			faults = append(faults, own...)
+			continue
+		}
+		files = append(files, file)
+	}
+	faults = append(faults, sharedAddresses(files)...)
+	faults = append(faults, differentKeyRings(files)...)
+	if len(faults) > 0 {
+		return files, faults
+	}
+	return files, nil
+}
+
+// sharedAddresses reports addresses that two processes claim.
+func sharedAddresses(files []File) Faults {
+	var faults Faults
+	for i, file := range files {
+		for _, other := range files[:i] {
+			faults = append(faults, sharedBy(file.Process(), other.Process())...)
+			if fault, ok := sharedEntry(file, other); ok {
+				faults = append(faults, fault)
+			}
+		}
+	}
+	return faults
+}
+
+func sharedBy(process, other *Process) Faults {
+	var faults Faults
+	for _, a := range process.listening() {
+		for _, b := range other.listening() {
+			if !overlap(a.address, b.address) || (process.Host != other.Host && separate(a, b)) {
+				continue
+			}
+			faults = append(faults, process.source.fault(a.key,
+				fmt.Sprintf("%s is also the address of %s in %s; want a different address for each process", a.address, b.key, other.source.file)))
+		}
+	}
+	return faults
+}
+
+// separate reports whether two overlapping addresses can exist on different
+// hosts: peers are not told the observe address, so each host may use its
+// loopback or every address.
+func separate(a, b keyed) bool {
+	if a.key != "observe-address" && b.key != "observe-address" {
+		return false
+	}
+	local := func(address netip.Addr) bool { return address.IsLoopback() || address.IsUnspecified() }
+	return local(a.address.Addr()) || local(b.address.Addr())
+}
+
+// sharedEntry reports two balancers of one host with the same entry address.
+// Balancers of different hosts may share an address that the fabric routes to
+// all of them.
+func sharedEntry(file, other File) (Fault, bool) {
+	if file.balancer == nil || other.balancer == nil || file.balancer.Host != other.balancer.Host ||
+		file.balancer.EntryAddress != other.balancer.EntryAddress {
+		return Fault{}, false
+	}
+	return file.balancer.source.fault("entry-address",
+		fmt.Sprintf("%s is also the address of entry-address in %s; want a different address for each balancer of a host",
+			file.balancer.EntryAddress, other.balancer.source.file)), true
+}
+
+func differentKeyRings(files []File) Faults {
+	var faults Faults
+	var first *keyring.Ring
+	for _, file := range files {
+		process := file.Process()
+		ring, err := keyring.Load(process.KeyRingFile)
+		if err != nil {
+			faults = append(faults, process.source.fault("key-ring-file", err.Error()))
+			continue
+		}
+		if first == nil {
+			first = ring
+			continue
+		}
+		if !ring.Equal(first) {
+			faults = append(faults, process.source.fault("key-ring-file",
+				fmt.Sprintf("%q differs from the key ring of %s; want the same generations, secrets and active generation in every process",
+					process.KeyRingFile, files[0].Process().source.file)))
+		}
+	}
+	return faults
+}
--- /dev/null
+++ b/internal/common/settings/rule.go
@@ -0,0 +1,131 @@
+package settings
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"net/url"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/orioledyke/orioledyke/internal/common/keyring"
+)
+
+// rule is the parsed form of a rule tag: a kind of value and, optionally,
+// "required".
+type rule struct {
+	kind     string
+	required bool
+}
+
+func parseRule(tag string) rule {
+	kind, option, _ := strings.Cut(tag, ",")
+	return rule{kind: kind, required: option == "required"}
+}
+
+// wants tells what each kind of value allows. The kinds are: role, name,
+// address (IP:port to listen on), reachable (IP:port that peers are told), ip,
+// url, host-port, file (must be readable), key-ring (must be a valid key ring),
+// output (must be in an existing directory), positive (duration), ratio.
+var wants = map[string]string{
+	"role":      "balancer or sidecar",
+	"name":      "1 to 63 lower-case letters, digits and hyphens that begin with a letter",
+	"address":   "IP:port, such as 10.0.0.1:7002",
+	"reachable": "IP:port that peers can reach, such as 10.0.0.1:7000",
+	"ip":        "the IP address that clients reach, such as 10.0.0.1",
+	"url":       "an http or https URL, such as http://127.0.0.1:8500",
+	"host-port": "host:port, such as 127.0.0.1:4317",
+	"file":      "a file that can be read",
+	"key-ring":  "a key ring file that can be read",
+	"output":    "a file in an existing directory",
+	"positive":  "a duration above zero with its unit, such as 500ms or 1s",
+	"ratio":     "a number from 0 to 1",
+}
+
+var namePattern = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
+
+func (r rule) want() string { return wants[r.kind] }
+
+// check returns what is wrong with a decoded value, or nothing.
+func (r rule) check(value any) string {
+	allowed, reason := true, ""
+	switch v := value.(type) {
+	case Role:
+		allowed = v == RoleBalancer || v == RoleSidecar
+	case netip.AddrPort:
+		allowed = v.Port() != 0 && v.Addr().Zone() == "" && !v.Addr().IsMulticast() &&
+			(r.kind != "reachable" || !v.Addr().IsUnspecified())
+	case netip.Addr:
+		allowed = !v.IsUnspecified() && !v.IsMulticast() && v.Zone() == ""
+	case time.Duration:
+		allowed = v > 0
+	case float64:
+		allowed = v >= 0 && v <= 1
+	case string:
+		allowed, reason = r.checkText(v)
+	}
+	if allowed {
+		return ""
+	}
+	if reason != "" {
+		return fmt.Sprintf("%q: %s; want %s", value, reason, r.want())
+	}
+	return fmt.Sprintf("%q is not allowed; want %s", fmt.Sprint(value), r.want())
+}
+
+func (r rule) checkText(text string) (allowed bool, reason string) {
+	switch r.kind {
+	case "name":
+		return namePattern.MatchString(text), ""
+	case "url":
+		return validURL(text), ""
+	case "host-port":
+		return validHostPort(text), ""
+	case "file":
+		_, err := readLimited(text)
+		return err == nil, message(err)
+	case "key-ring":
+		data, err := readLimited(text)
+		if err == nil {
+			_, err = keyring.Parse(data)
+		}
+		return err == nil, message(err)
+	case "output":
+		info, err := os.Stat(filepath.Dir(text))
+		return err == nil && info.IsDir(), ""
+	default:
+		return true, ""
+	}
+}
+
+func message(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+func validURL(text string) bool {
+	u, err := url.Parse(text)
+	if err != nil || u.Hostname() == "" || u.User != nil || u.RawQuery != "" || u.Fragment != "" {
+		return false
+	}
+	if u.Scheme != "http" && u.Scheme != "https" {
+		return false
+	}
+	return u.Port() == "" || validPort(u.Port())
+}
+
+func validHostPort(text string) bool {
+	host, port, err := net.SplitHostPort(text)
+	return err == nil && host != "" && validPort(port)
+}
+
+func validPort(text string) bool {
+	port, err := strconv.ParseUint(text, 10, 16)
+	return err == nil && port > 0
+}
--- a/internal/common/settings/settings.go
+++ b/internal/common/settings/settings.go
@@ -3,68 +3,124 @@
 
 import (
 	"net/netip"
-	"os"
+	"time"
+)
+
+// Role is the kind of process that a settings file belongs to.
+type Role string
 
-	"github.com/goccy/go-yaml"
-	"github.com/samber/oops"
+// Roles of processes.
+const (
+	RoleBalancer Role = "balancer"
+	RoleSidecar  Role = "sidecar"
 )
 
-// Process holds the settings that every role has.
+// Process holds the settings that every role has. The rule tags are described
+// at the type rule.
 type Process struct {
-	Host           string         `yaml:"host"`
-	DataCentre     string         `yaml:"data-centre"`
-	TunnelAddress  netip.AddrPort `yaml:"tunnel-address"`
-	ControlAddress netip.AddrPort `yaml:"control-address"`
+	Role           Role           `yaml:"role" rule:"role,required"`
+	Host           string         `yaml:"host" rule:"name,required"`
+	DataCentre     string         `yaml:"data-centre" rule:"name,required"`
+	TunnelAddress  netip.AddrPort `yaml:"tunnel-address" rule:"reachable,required"`
+	ControlAddress netip.AddrPort `yaml:"control-address" rule:"reachable,required"`
 	// ObserveAddress serves metrics and readiness.
-	ObserveAddress netip.AddrPort `yaml:"observe-address"`
-	KeyRingFile    string         `yaml:"key-ring-file"`
-	Platform       Platform       `yaml:"platform"`
+	ObserveAddress netip.AddrPort `yaml:"observe-address" rule:"address,required"`
+	KeyRingFile    string         `yaml:"key-ring-file" rule:"key-ring,required"`
+	// ReloadInterval is the time between two checks of the key ring file and the
+	// certificate files for changes. Zero means one second.
+	ReloadInterval time.Duration `yaml:"reload-interval" rule:"positive"`
+	Platform       Platform      `yaml:"platform"`
 	// Seeds are control addresses of balancers, used when the platform does not
 	// answer.
-	Seeds  []netip.AddrPort `yaml:"seeds"`
+	Seeds  []netip.AddrPort `yaml:"seeds" rule:"reachable"`
 	Traces Traces           `yaml:"traces"`
+
+	source source
 }
 
 // Platform tells how to reach the platform's key-value service.
 type Platform struct {
 	// Address is the base URL.
-	Address   string `yaml:"address"`
-	TokenFile string `yaml:"token-file"`
+	Address   string `yaml:"address" rule:"url"`
+	TokenFile string `yaml:"token-file" rule:"file"`
 }
 
 // Traces tells where spans go. Both empty means nowhere.
 type Traces struct {
-	File         string `yaml:"file"`
-	OTLPEndpoint string `yaml:"otlp-endpoint"`
+	File         string `yaml:"file" rule:"output"`
+	OTLPEndpoint string `yaml:"otlp-endpoint" rule:"host-port"`
+	// SampleRatio is the share of traces that start in this process and are
+	// recorded. Nil means 1. A trace that starts elsewhere keeps its decision.
+	SampleRatio *float64 `yaml:"sample-ratio" rule:"ratio"`
+}
+
+// Ratio returns the share of traces to record, from 0 to 1.
+func (t Traces) Ratio() float64 {
+	if t.SampleRatio == nil {
+		return 1
+	}
+	return *t.SampleRatio
 }
 
 // Balancer holds the settings of a balancer.
 type Balancer struct {
 	Process `yaml:",inline"`
 	// EntryAddress is the IP address of every service; a contract gives the port.
-	EntryAddress netip.Addr `yaml:"entry-address"`
+	EntryAddress netip.Addr `yaml:"entry-address" rule:"ip,required"`
 }
 
 // Sidecar holds the settings of a sidecar.
 type Sidecar struct {
 	Process  `yaml:",inline"`
-	Customer string `yaml:"customer"`
-	Service  string `yaml:"service"`
+	Customer string `yaml:"customer" rule:"name,required"`
+	Service  string `yaml:"service" rule:"name,required"`
 	// UpstreamURL is the base URL of the upstream on this host.
-	UpstreamURL     string `yaml:"upstream-url"`
-	CertificateFile string `yaml:"certificate-file"`
-	PrivateKeyFile  string `yaml:"private-key-file"`
+	UpstreamURL     string `yaml:"upstream-url" rule:"url,required"`
+	CertificateFile string `yaml:"certificate-file" rule:"file,required"`
+	PrivateKeyFile  string `yaml:"private-key-file" rule:"file,required"`
+}
+
+// source tells where settings were read from.
+type source struct {
+	file  string
+	lines map[string]int
 }
 
-// Load reads settings of type T from a file. Unknown keys are errors.
+func (s source) fault(key, problem string) Fault {
+	return Fault{File: s.file, Line: s.lines[key], Key: key, Problem: problem}
+}
+
+// Load reads settings of type T, which is Balancer or Sidecar, from a file and
+// checks them as a whole. The error is of type Faults and holds every fault.
 func Load[T any](path string) (T, error) {
-	var settings T
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return settings, oops.Code("settings-unreadable").Wrapf(err, "read settings")
+	var zero T
+	data, faults := read(path)
+	if len(faults) > 0 {
+		return zero, faults
 	}
-	if err := yaml.UnmarshalWithOptions(data, &settings, yaml.Strict()); err != nil {
-		return settings, oops.Code("settings-invalid").Wrapf(err, "%s", path)
+	settings, faults := parse[T](path, data)
+	if len(faults) > 0 {
+		return zero, faults
 	}
 	return settings, nil
 }
+
+// parse decodes and checks the content of a file.
+func parse[T any](path string, data []byte) (T, Faults) {
+	var settings T
+	d := decoder{source: source{file: path, lines: map[string]int{}}}
+	d.decode(data, &settings)
+	if d.malformed {
+		return settings, d.faults
+	}
+	switch s := any(&settings).(type) {
+	case *Balancer:
+		s.source = d.source
+		d.faults = append(d.faults, s.check()...)
+	case *Sidecar:
+		s.source = d.source
+		d.faults = append(d.faults, s.check()...)
+	}
+	d.faults.sort()
+	return settings, d.faults
+}
