telemetry: Add log, metrics, readiness and traces

Cause: every process needs the same log lines, metrics server and spans. Change: telemetry.New with a zap logfmt logger, a client_golang registry, the observe server with /metrics, /ready and /live, and an OpenTelemetry tracer provider that exports to a file or by OTLP gRPC with W3C propagation. Ruled out: zap's own rendering of errors, which adds the stack trace of oops errors to the line; a core wrapper writes message and code instead. Conclusion: New opens the observe address itself, so that a port in use is found before the process does anything else.

--- /dev/null
+++ b/internal/common/telemetry/log.go
@@ -0,0 +1,76 @@
+package telemetry
+
+import (
+	"io"
+
+	zaplogfmt "github.com/jsternberg/zap-logfmt"
+	"github.com/samber/oops"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// newLogger returns a logger that writes logfmt lines, which begin with time,
+// level, event, role and host.
+func newLogger(config Config) *zap.Logger {
+	encoder := zaplogfmt.NewEncoder(zapcore.EncoderConfig{
+		TimeKey:        "time",
+		LevelKey:       "level",
+		MessageKey:     "event",
+		LineEnding:     zapcore.DefaultLineEnding,
+		EncodeTime:     zapcore.RFC3339NanoTimeEncoder,
+		EncodeLevel:    zapcore.LowercaseLevelEncoder,
+		EncodeDuration: zapcore.StringDurationEncoder,
+	})
+	output := config.Output
+	if output == nil {
+		output = io.Discard
+	}
+	core := zapcore.NewCore(encoder, zapcore.Lock(zapcore.AddSync(output)), zapcore.InfoLevel)
+	return zap.New(plainErrors{core}).With(
+		zap.String("role", string(config.Role)),
+		zap.String("host", config.Host),
+		zap.String("data-centre", config.DataCentre),
+	)
+}
+
+// plainErrors writes an error as its message and code. Without it zap adds the
+// verbose form of oops errors, which holds a stack trace.
+type plainErrors struct {
+	zapcore.Core
+}
+
+// With returns a core with more fields.
+func (p plainErrors) With(fields []zapcore.Field) zapcore.Core {
+	return plainErrors{p.Core.With(plain(fields))}
+}
+
+// Check adds the core to an entry that is enabled.
+func (p plainErrors) Check(entry zapcore.Entry, checked *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	if p.Enabled(entry.Level) {
+		return checked.AddCore(entry, p)
+	}
+	return checked
+}
+
+// Write writes an entry.
+func (p plainErrors) Write(entry zapcore.Entry, fields []zapcore.Field) error {
+	return p.Core.Write(entry, plain(fields))
+}
+
+func plain(fields []zapcore.Field) []zapcore.Field {
+	result := make([]zapcore.Field, 0, len(fields))
+	for _, field := range fields {
+		err, ok := field.Interface.(error)
+		if field.Type != zapcore.ErrorType || !ok {
+			result = append(result, field)
+			continue
+		}
+		result = append(result, zap.String(field.Key, err.Error()))
+		if detail, ok := oops.AsOops(err); ok {
+			if code, ok := detail.Code().(string); ok && code != "" {
+				result = append(result, zap.String("code", code))
+			}
+		}
+	}
+	return result
+}
--- /dev/null
+++ b/internal/common/telemetry/telemetry_test.go
@@ -0,0 +1,110 @@
+package telemetry_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/orioledyke/orioledyke/internal/common/settings"
+	"github.com/orioledyke/orioledyke/internal/common/telemetry"
+	"github.com/samber/oops"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
+	"go.uber.org/zap"
+)
+
+func newTelemetry(c *qt.C, config telemetry.Config) *telemetry.Telemetry {
+	config.Role, config.Host, config.DataCentre = settings.RoleBalancer, "entry-1", "hr-east-a"
+	t, err := telemetry.New(config)
+	c.Assert(err, qt.IsNil)
+	return t
+}
+
+// TestLogIsOneLine guards against events of several lines and against stack
+// traces of errors in the log.
+func TestLogIsOneLine(t *testing.T) {
+	c := qt.New(t)
+	var output bytes.Buffer
+	logger := newTelemetry(c, telemetry.Config{Output: &output}).Logger()
+	logger.Info("member-joined", zap.String("member", "a b\nc"))
+	logger.Warn("reload-failed", zap.Error(oops.Code("key-ring-invalid").Wrap(errors.New("line 1\nline 2"))))
+	lines := strings.Split(strings.TrimSuffix(output.String(), "\n"), "\n")
+	c.Assert(lines, qt.HasLen, 2)
+	c.Check(lines[0], qt.Matches, `time=\S+ level=info event=member-joined role=balancer host=entry-1 data-centre=hr-east-a member="a b\\nc"`)
+	c.Check(lines[1], qt.Matches, `time=\S+ level=warn event=reload-failed role=balancer host=entry-1 data-centre=hr-east-a error="line 1\\nline 2" code=key-ring-invalid`)
+}
+
+// TestObserveServer guards against a process that reports itself ready before
+// it is, and against metrics that are missing.
+func TestObserveServer(t *testing.T) {
+	c := qt.New(t)
+	var reasons atomic.Pointer[[]string]
+	reasons.Store(&[]string{"no contract", "no peer"})
+	observed := newTelemetry(c, telemetry.Config{
+		ObserveAddress: netip.MustParseAddrPort("127.0.0.1:0"),
+		Ready:          func() []string { return *reasons.Load() },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error)
+	go func() { ended <- observed.Serve(ctx) }()
+	get := func(path string) (int, string) {
+		response, err := http.Get("http://" + observed.Address().String() + path)
+		c.Assert(err, qt.IsNil)
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		c.Assert(err, qt.IsNil)
+		return response.StatusCode, string(body)
+	}
+	status, body := get("/ready")
+	c.Check(status, qt.Equals, http.StatusServiceUnavailable)
+	c.Check(body, qt.Equals, "no contract\nno peer\n")
+	reasons.Store(new([]string))
+	status, _ = get("/ready")
+	c.Check(status, qt.Equals, http.StatusOK)
+	status, _ = get("/live")
+	c.Check(status, qt.Equals, http.StatusOK)
+	_, body = get("/metrics")
+	c.Check(body, qt.Contains, "go_goroutines ")
+	c.Check(body, qt.Contains, "process_open_fds ")
+	_, err := telemetry.New(telemetry.Config{ObserveAddress: observed.Address()})
+	c.Check(err, qt.ErrorMatches, "open observe-address .*")
+	cancel()
+	c.Check(<-ended, qt.IsNil)
+	c.Check(observed.Shutdown(context.Background()), qt.IsNil)
+}
+
+// TestTraces guards against spans that are lost at the end of the process, and
+// against a trace that changes its ID or its sampling decision between hops.
+func TestTraces(t *testing.T) {
+	c := qt.New(t)
+	const traceID = "0af7651916cd43dd8448eb211c80319c"
+	for ratio, flag := range map[float64]string{0: "01", 1: "00"} {
+		path := filepath.Join(c.TempDir(), "spans")
+		observed := newTelemetry(c, telemetry.Config{Traces: settings.Traces{File: path, SampleRatio: &ratio}})
+		carrier := propagation.MapCarrier{"traceparent": "00-" + traceID + "-b7ad6b7169203331-" + flag}
+		ctx := otel.GetTextMapPropagator().Extract(context.Background(), carrier)
+		ctx, child := observed.Tracer("test").Start(ctx, "child")
+		onward := propagation.MapCarrier{}
+		otel.GetTextMapPropagator().Inject(ctx, onward)
+		c.Check(onward["traceparent"], qt.Matches, "00-"+traceID+"-[0-9a-f]{16}-"+flag)
+		child.End()
+		_, root := observed.Tracer("test").Start(context.Background(), "root")
+		root.End()
+		c.Assert(observed.Shutdown(context.Background()), qt.IsNil)
+		data, err := os.ReadFile(path)
+		c.Assert(err, qt.IsNil)
+		var span struct{ Name string }
+		c.Assert(json.Unmarshal(data, &span), qt.IsNil, qt.Commentf("%s", data))
+		c.Check(span.Name, qt.Equals, map[float64]string{0: "child", 1: "root"}[ratio])
+	}
+}
--- /dev/null
+++ b/internal/common/telemetry/traces.go
@@ -0,0 +1,107 @@
+package telemetry
+
+import (
+	"context"
+	"errors"
+	"os"
+
+	"github.com/samber/oops"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracegrpc"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.uber.org/zap"
+)
+
+const traceFileMode = 0o644
+
+// traces owns the tracer provider and the file of spans.
+type traces struct {
+	provider *sdktrace.TracerProvider
+	file     *os.File
+}
+
+func newTraces(config Config) (*traces, error) {
+	t := &traces{}
+	options := []sdktrace.TracerProviderOption{
+		sdktrace.WithResource(resource.NewSchemaless(
+			attribute.String("service.name", "orioledyke-"+string(config.Role)),
+			attribute.String("host.name", config.Host),
+			attribute.String("data-centre", config.DataCentre),
+		)),
+		sdktrace.WithSampler(sampler(config)),
+	}
+	if config.Traces.File != "" {
+		exporter, err := t.openFile(config.Traces.File)
+		if err != nil {
+			return nil, err
+		}
+		options = append(options, sdktrace.WithBatcher(exporter))
+	}
+	if config.Traces.OTLPEndpoint != "" {
+		// The endpoint is a collector on this host or network, which takes
+		// plaintext. The connection is made in the background.
+		exporter, err := otlptracegrpc.New(context.Background(),
+			otlptracegrpc.WithEndpoint(config.Traces.OTLPEndpoint), otlptracegrpc.WithInsecure())
+		if err != nil {
+			return nil, errors.Join(oops.Code("traces-unavailable").Wrap(err), t.closeFile())
+		}
+		options = append(options, sdktrace.WithBatcher(exporter))
+	}
+	t.provider = sdktrace.NewTracerProvider(options...)
+	return t, nil
+}
+
+// sampler records a share of the traces that start here and follows the
+// decision of the caller for the others. Without an output nothing starts here,
+// so that spans cost nothing, but the caller's decision is still passed on.
+func sampler(config Config) sdktrace.Sampler {
+	if config.Traces.File == "" && config.Traces.OTLPEndpoint == "" {
+		return sdktrace.ParentBased(sdktrace.NeverSample())
+	}
+	return sdktrace.ParentBased(sdktrace.TraceIDRatioBased(config.Traces.Ratio()))
+}
+
+func (t *traces) openFile(path string) (sdktrace.SpanExporter, error) {
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, traceFileMode)
+	if err != nil {
+		return nil, oops.Code("traces-unavailable").Wrapf(err, "open traces.file")
+	}
+	exporter, err := stdouttrace.New(stdouttrace.WithWriter(file))
+	if err != nil {
+		return nil, errors.Join(oops.Code("traces-unavailable").Wrap(err), file.Close())
+	}
+	t.file = file
+	return exporter, nil
+}
+
+// install makes t the tracer provider of the process.
+func (t *traces) install(logger *zap.Logger) {
+	otel.SetTracerProvider(t.provider)
+	otel.SetTextMapPropagator(propagation.TraceContext{})
+	otel.SetErrorHandler(otel.ErrorHandlerFunc(func(err error) {
+		logger.Warn("trace-export-failed", zap.Error(err))
+	}))
+}
+
+func (t *traces) shutdown(ctx context.Context) error {
+	if err := t.provider.Shutdown(ctx); err != nil {
+		return errors.Join(oops.Code("traces-not-flushed").Wrap(err), t.closeFile())
+	}
+	return t.closeFile()
+}
+
+func (t *traces) closeFile() error {
+	if t.file == nil {
+		return nil
+	}
+	file := t.file
+	t.file = nil
+	if err := file.Close(); err != nil {
+		return oops.Wrapf(err, "close traces.file")
+	}
+	return nil
+}
