--- a/internal/control/contract/contract.go
+++ b/internal/control/contract/contract.go
@@ -3,7 +3,7 @@
 package contract
 
 import (
-	"fmt"
+	"encoding/json"
 
 	"github.com/goccy/go-yaml"
 	"github.com/orioledyke/orioledyke/internal/common/clock"
@@ -52,15 +52,6 @@
 	Stream          bool    `json:"stream" yaml:"stream"`
 }
 
-// Parse reads a contract from YAML or JSON.
-func Parse(data []byte) (Contract, error) {
-	var c Contract
-	if err := yaml.UnmarshalWithOptions(data, &c.document, yaml.Strict()); err != nil {
-		return Contract{}, fmt.Errorf("contract: %w", err)
-	}
-	return c, nil
-}
-
 // Customer returns the name of the customer.
 func (c Contract) Customer() string { return c.document.Customer }
 
@@ -73,6 +64,36 @@
 	return services
 }
 
+// Service returns the service with the given name, and false if the contract has
+// none.
+func (c Contract) Service(name string) (Service, bool) {
+	for _, s := range c.document.Services {
+		if s.Name == name {
+			return Service{customer: c.document.Customer, document: s}, true
+		}
+	}
+	return Service{}, false
+}
+
+// Ports returns the ports of all services in the order of the contract.
+func (c Contract) Ports() []uint16 {
+	ports := make([]uint16, len(c.document.Services))
+	for i, s := range c.document.Services {
+		ports[i] = s.Port
+	}
+	return ports
+}
+
+// MarshalJSON returns the contract in the form that Parse reads.
+func (c Contract) MarshalJSON() ([]byte, error) {
+	return json.Marshal(c.document)
+}
+
+// MarshalYAML returns the contract in the form that Parse reads.
+func (c Contract) MarshalYAML() ([]byte, error) {
+	return yaml.Marshal(c.document)
+}
+
 // ID returns the service's identifier in connection IDs and tunnel datagrams.
 func (s Service) ID() identity.ServiceID {
 	return identity.NewServiceID(s.customer, s.document.Name)
@@ -93,8 +114,7 @@
 // Flows returns how many flows each sidecar holds at most.
 func (s Service) Flows() int { return s.document.Flows }
 
-// Kinds returns the kinds of work in the order of the contract, in which they
-// are matched.
+// Kinds returns the kinds of work in the order of the contract.
 func (s Service) Kinds() []Kind {
 	kinds := make([]Kind, len(s.document.Kinds))
 	for i, k := range s.document.Kinds {
@@ -109,7 +129,8 @@
 // Method returns the HTTP method that the kind matches.
 func (k Kind) Method() string { return k.document.Method }
 
-// PathPrefix returns the prefix of paths that the kind matches.
+// PathPrefix returns the prefix of paths that the kind matches, in whole
+// segments and without a trailing slash unless it is "/".
 func (k Kind) PathPrefix() string { return k.document.PathPrefix }
 
 // Urgency orders kinds when slots are spare: the higher one goes first.
