--- /dev/null
+++ b/internal/balancer/node/metrics.go
@@ -0,0 +1,31 @@
+package node
+
+import (
+	"github.com/orioledyke/orioledyke/internal/balancer/routing"
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+const metricsPrefix = "orioledyke_balancer_"
+
+// registerMetrics registers the counters of the data path. They are read when
+// metrics are collected, so that datagrams cost nothing more.
+func (n *node) registerMetrics() {
+	counter := func(name, help string, labels prometheus.Labels, read func() uint64) {
+		n.telemetry.Registry().MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: metricsPrefix + name, Help: help, ConstLabels: labels,
+		}, func() float64 { return float64(read()) }))
+	}
+	f := n.forwarder
+	counter("client_datagrams_total", "Datagrams received from clients.", nil, f.Inbound)
+	counter("reply_datagrams_total", "Datagrams sent to clients.", nil, f.Outbound)
+	counter("invalid_tunnel_datagrams_total", "Tunnel datagrams that were not authentic.", nil, f.Invalid)
+	counter("links_replaced_total", "Silent paths to sidecars that were moved to another socket.", nil, f.Replaced)
+	for i := range routing.ReasonCount {
+		reason := routing.Reason(i)
+		counter("decisions_total", "Routing decisions by reason.", prometheus.Labels{"reason": reason.String()},
+			func() uint64 { return f.Decisions(reason) })
+	}
+	n.telemetry.Registry().MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: metricsPrefix + "members", Help: "Sidecars in the routing table.",
+	}, func() float64 { return float64(f.Table().Len()) }))
+}
--- /dev/null
+++ b/internal/balancer/node/state.go
@@ -0,0 +1,82 @@
+package node
+
+import (
+	"sync"
+
+	"github.com/orioledyke/orioledyke/internal/balancer/client"
+	"github.com/orioledyke/orioledyke/internal/balancer/routing"
+	"github.com/orioledyke/orioledyke/internal/common/identity"
+	"github.com/orioledyke/orioledyke/internal/control/contract"
+	"github.com/orioledyke/orioledyke/internal/control/membership"
+	"go.uber.org/zap"
+)
+
+// state brings members and contracts into effect in the forwarder. The control
+// part calls it from one goroutine.
+type state struct {
+	forwarder *client.Forwarder
+	logger    *zap.Logger
+	contracts *contract.Store
+
+	mutex      sync.Mutex
+	portsError error
+}
+
+func newState(forwarder *client.Forwarder, logger *zap.Logger) *state {
+	return &state{forwarder: forwarder, logger: logger, contracts: contract.NewStore()}
+}
+
+func (s *state) applyMembers(changed []membership.Record, removed []identity.OwnerID) {
+	members := make([]routing.Member, len(changed))
+	for i, r := range changed {
+		members[i] = routing.Member{Owner: r.ID(), Service: r.ServiceID(), Tunnel: r.Tunnel(), Weight: r.Weight()}
+		s.logger.Info("member-changed", zap.Stringer("id", r.ID()), zap.Stringer("state", r.State()),
+			zap.String("service", r.Customer()+"/"+r.Service()), zap.Int("weight", r.Weight()))
+	}
+	for _, owner := range removed {
+		s.logger.Info("member-removed", zap.Stringer("id", owner))
+	}
+	s.forwarder.SetTable(s.forwarder.Table().With(members, removed))
+}
+
+func (s *state) applyContract(customer string, revision uint64, document []byte) {
+	d, err := contract.ParseDocument(customer, document)
+	if err != nil {
+		// A newer version of the program may write what this one cannot read. The
+		// contract in effect stays.
+		s.logger.Error("contract-unreadable", zap.String("customer", customer), zap.Uint64("revision", revision), zap.Error(err))
+		return
+	}
+	if !s.contracts.Apply(d) {
+		return
+	}
+	s.logger.Info("contract-applied", zap.String("customer", customer), zap.Uint64("revision", d.Revision()), zap.Bool("deleted", d.Deleted()))
+	s.openServices()
+}
+
+// openServices opens the service addresses of all contracts in effect. A port
+// that cannot be opened makes this balancer not ready, so that the fabric sends
+// to others.
+func (s *state) openServices() {
+	ports := map[identity.ServiceID]uint16{}
+	for _, d := range s.contracts.Documents() {
+		if c, ok := d.Contract(); ok {
+			for _, service := range c.Services() {
+				ports[service.ID()] = service.Port()
+			}
+		}
+	}
+	err := s.forwarder.SetServices(ports)
+	if err != nil {
+		s.logger.Error("service-address-unavailable", zap.Error(err))
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.portsError = err
+}
+
+func (s *state) failed() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.portsError != nil
+}
--- /dev/null
+++ b/internal/cli/commands/sidecar.go
@@ -0,0 +1,19 @@
+package commands
+
+import (
+	"context"
+
+	"github.com/orioledyke/orioledyke/internal/common/settings"
+	"github.com/orioledyke/orioledyke/internal/sidecar/node"
+	"github.com/urfave/cli/v3"
+)
+
+func newSidecarCommand() *cli.Command {
+	return newServeCommand("sidecar", "run the process beside an upstream", func(ctx, stop context.Context, path string) error {
+		s, err := settings.Load[settings.Sidecar](path)
+		if err != nil {
+			return err
+		}
+		return node.Run(ctx, stop, s)
+	})
+}
