standin: Serve the platform's key-value API in memory

Cause: the client of the platform needs a service to be tested against, with the rates, limits and faults that the users state. Ruled out: a token bucket of our own, because golang.org/x/time/rate is there.

--- /dev/null
+++ b/internal/standin/platform/switches.go
@@ -0,0 +1,72 @@
+package platform
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/orioledyke/orioledyke/internal/common/clock"
+)
+
+// Switches are the faults of the service.
+type Switches struct {
+	// Outage answers every call with 503 and ends pending watches.
+	Outage bool `json:"outage"`
+	// LatencyMillis delays every call before it takes effect. A write takes
+	// effect even if its caller has left.
+	LatencyMillis clock.Millis `json:"latency-ms"`
+	// LostResponses is the number of next writes that take effect but whose
+	// connection is closed without a response.
+	LostResponses int `json:"lost-responses"`
+}
+
+// Switches returns the current faults.
+func (s *Server) Switches() Switches {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.switches
+}
+
+// SetSwitches replaces the faults.
+func (s *Server) SetSwitches(switches Switches) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.switches = switches
+	s.notify()
+}
+
+// ExpireLeases ends every session as if its holder had not renewed it.
+func (s *Server) ExpireLeases() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id := range s.store.sessions {
+		s.store.endSession(id)
+	}
+	s.notify()
+}
+
+// adminRoutes serves GET and PUT /admin/switches, PUT /admin/expire-leases and
+// GET /admin/counts. Faults and rate limits do not apply to them.
+func (s *Server) adminRoutes(mux *http.ServeMux) {
+	mux.HandleFunc("GET /admin/switches", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, s.Switches())
+	})
+	mux.HandleFunc("PUT /admin/switches", func(w http.ResponseWriter, r *http.Request) {
+		// Keys that are absent keep their value.
+		switches := s.Switches()
+		decoder := json.NewDecoder(r.Body)
+		decoder.DisallowUnknownFields()
+		if err := decoder.Decode(&switches); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		s.SetSwitches(switches)
+		writeJSON(w, http.StatusOK, switches)
+	})
+	mux.HandleFunc("PUT /admin/expire-leases", func(w http.ResponseWriter, _ *http.Request) {
+		s.ExpireLeases()
+		w.WriteHeader(http.StatusNoContent)
+	})
+	mux.HandleFunc("GET /admin/counts", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, s.Counts())
+	})
+}
