--- /dev/null
+++ b/internal/control/platform/harness_test.go
@@ -0,0 +1,93 @@
+package platform_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+
+	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/control/contract"
+	"github.com/orioledyke/orioledyke/internal/control/platform"
+	standin "github.com/orioledyke/orioledyke/internal/standin/platform"
+)
+
+var errLost = errors.New("connection lost")
+
+// roundTrip is a transport as a function.
+type roundTrip func(*http.Request) (*http.Response, error)
+
+func (f roundTrip) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
+// serve calls the stand-in without a socket. An aborted handler is a lost
+// response.
+func serve(server *standin.Server) roundTrip {
+	return func(r *http.Request) (answer *http.Response, err error) {
+		defer func() {
+			if recover() != nil {
+				err = errLost
+			}
+		}()
+		if err := r.Context().Err(); err != nil {
+			return nil, err
+		}
+		recorder := httptest.NewRecorder()
+		server.Handler().ServeHTTP(recorder, r)
+		return recorder.Result(), nil
+	}
+}
+
+// newStandin returns a stand-in whose time is now and whose blocking queries end
+// only by a change.
+func newStandin(now func() clock.Millis) *standin.Server {
+	return standin.NewServer(standin.Config{Now: now})
+}
+
+// newClient returns a client that waits for no time.
+func newClient(transport http.RoundTripper, newChangeID func() string) *platform.Client {
+	return platform.New(platform.Config{
+		Address: "http://platform", Transport: transport, NewChangeID: newChangeID,
+		Wait:   func(ctx context.Context, _ clock.Millis) error { return ctx.Err() },
+		Random: func() float64 { return 0.5 },
+	})
+}
+
+func parse(customer string, ports ...int) contract.Contract {
+	var text strings.Builder
+	fmt.Fprintf(&text, "customer: %s\nservices:\n", customer)
+	for _, port := range ports {
+		fmt.Fprintf(&text, "- {name: s%d, port: %d, slots: 1, flows: 1, kinds: [{name: k, method: GET, path-prefix: /, stream: true}]}\n", port, port)
+	}
+	parsed, err := contract.Parse([]byte(text.String()))
+	if err != nil {
+		panic(err)
+	}
+	return parsed
+}
+
+// gate lets a test decide when each call of one client proceeds and how it ends.
+type gate struct {
+	calls   chan *http.Request
+	answers chan func(*http.Request) (*http.Response, error)
+}
+
+func newGate() *gate {
+	return &gate{calls: make(chan *http.Request), answers: make(chan func(*http.Request) (*http.Response, error))}
+}
+
+func (g *gate) transport() roundTrip {
+	return func(r *http.Request) (*http.Response, error) {
+		// The body is read now because a late call outlives its request.
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return nil, err
+		}
+		copied := r.Clone(context.WithoutCancel(r.Context()))
+		copied.Body = io.NopCloser(strings.NewReader(string(body)))
+		g.calls <- copied
+		return (<-g.answers)(copied)
+	}
+}
--- /dev/null
+++ b/internal/control/platform/write.go
@@ -0,0 +1,246 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strconv"
+
+	"github.com/orioledyke/orioledyke/internal/control/contract"
+)
+
+const (
+	contractPrefix = "contracts/"
+	addressPrefix  = "addresses/"
+)
+
+var errRaced = errors.New("other changes kept intervening")
+
+// change is one write of an operator with its progress.
+type change struct {
+	client   *Client
+	customer string
+	// contract is nil for a deletion.
+	contract *contract.Contract
+	id       string
+	// expected is the revision that the change replaces; nil until it is known.
+	expected *uint64
+	// uncertain is set once a transaction was sent whose outcome is unknown.
+	uncertain bool
+	proposed  contract.Document
+}
+
+// state is what the platform holds that concerns a change.
+type state struct {
+	document *contract.Document
+	// index is the modification index of the contract's key, 0 without one.
+	index uint64
+	// claims holds the owner of each port of the old and the new contract.
+	claims map[uint16]claim
+}
+
+type claim struct {
+	owner string
+	index uint64
+}
+
+// PutContract writes a contract as the next revision and claims its ports. With
+// expectedRevision it replaces only that revision; 0 means that there must be
+// none. Errors are *ConflictError, *PortClaimedError and *NotWrittenError, after
+// which nothing was written, and *UncertainError.
+func (c *Client) PutContract(ctx context.Context, next contract.Contract, expectedRevision *uint64) (contract.Document, error) {
+	return c.write(ctx, &change{customer: next.Customer(), contract: &next, expected: expectedRevision})
+}
+
+// DeleteContract writes a tombstone as the next revision and releases the ports.
+// It returns the errors of PutContract, and *NotFoundError if there is no
+// contract.
+func (c *Client) DeleteContract(ctx context.Context, customer string, expectedRevision *uint64) (contract.Document, error) {
+	return c.write(ctx, &change{customer: customer, expected: expectedRevision})
+}
+
+func (c *Client) write(ctx context.Context, ch *change) (contract.Document, error) {
+	ch.client = c
+	ch.id = c.config.NewChangeID()
+	cause := errRaced
+	for attempt := range c.config.Attempts {
+		// The first repetition follows at once: most lost responses are settled
+		// by the next read.
+		if attempt > 1 && c.backoff(ctx, attempt-1) != nil {
+			break
+		}
+		written, err := ch.try(ctx)
+		var call *callError
+		switch {
+		case err == nil && written:
+			return ch.proposed, nil
+		case errors.As(err, &call):
+			cause = err
+		case err != nil:
+			return contract.Document{}, err
+		}
+		if isPermanent(err) {
+			break
+		}
+	}
+	if ch.uncertain {
+		return contract.Document{}, &UncertainError{proposed: ch.proposed, cause: cause}
+	}
+	return contract.Document{}, &NotWrittenError{cause: cause}
+}
+
+// try reads the state, settles the outcome of an earlier attempt, and otherwise
+// sends the transaction. It returns a *callError if another attempt may help.
+func (ch *change) try(ctx context.Context) (bool, error) {
+	held, err := ch.read(ctx)
+	if err != nil {
+		return false, ch.final(err)
+	}
+	if held.document != nil && held.document.ChangeID() == ch.id {
+		ch.proposed = *held.document
+		return true, nil
+	}
+	if err := ch.check(held); err != nil {
+		return false, err
+	}
+	operations, err := ch.operations(held)
+	if err != nil {
+		return false, ch.final(err)
+	}
+	applied, err := ch.client.transact(ctx, operations)
+	var call *callError
+	if errors.As(err, &call) && !call.notApplied {
+		ch.uncertain = true
+	}
+	return applied, err
+}
+
+// final keeps a fault from being reported as "nothing was written" while an
+// earlier transaction may still take effect. A call error stays as it is.
+func (ch *change) final(err error) error {
+	var call *callError
+	if !ch.uncertain || errors.As(err, &call) {
+		return err
+	}
+	return &UncertainError{proposed: ch.proposed, cause: err}
+}
+
+func (ch *change) read(ctx context.Context) (state, error) {
+	held := state{claims: make(map[uint16]claim)}
+	stored, ok, err := ch.client.get(ctx, contractPrefix+ch.customer)
+	if err != nil {
+		return held, err
+	}
+	if ok {
+		document, err := contract.ParseDocument(ch.customer, stored.Value)
+		if err != nil {
+			return held, err
+		}
+		held.document = &document
+		held.index = stored.ModifyIndex
+	}
+	for _, port := range append(ch.newPorts(), held.ports()...) {
+		owner, ok, err := ch.client.get(ctx, addressKey(port))
+		if err != nil {
+			return held, err
+		}
+		if ok {
+			held.claims[port] = claim{owner: string(owner.Value), index: owner.ModifyIndex}
+		}
+	}
+	return held, nil
+}
+
+// check reports why the change cannot be written to the state held. The
+// transaction depends on the index of the contract's key, which is never
+// deleted: once the revision is higher, an earlier transaction of this change
+// cannot take effect any more.
+func (ch *change) check(held state) error {
+	revision := revisionOf(held.document)
+	if ch.expected == nil {
+		ch.expected = &revision
+	}
+	if err := ch.propose(); err != nil {
+		return err
+	}
+	if revision != *ch.expected {
+		conflict := &ConflictError{expected: *ch.expected, current: held.document, proposed: ch.proposed}
+		// The next revision is another operator's, so this change lost. After
+		// several revisions, one that is no longer visible may be this change.
+		if revision == *ch.expected+1 {
+			return conflict
+		}
+		return ch.final(conflict)
+	}
+	if ch.contract == nil && (held.document == nil || held.document.Deleted()) {
+		return &NotFoundError{customer: ch.customer}
+	}
+	for _, port := range ch.newPorts() {
+		if owner := held.claims[port].owner; owner != "" && owner != ch.customer {
+			// The owner may release the port before an earlier transaction
+			// arrives, which then takes effect.
+			return ch.final(&PortClaimedError{port: port, owner: owner})
+		}
+	}
+	return nil
+}
+
+func (ch *change) propose() error {
+	revision := *ch.expected + 1
+	if ch.contract == nil {
+		ch.proposed = contract.NewTombstone(ch.customer, revision, ch.id)
+		return nil
+	}
+	var err error
+	ch.proposed, err = contract.NewDocument(*ch.contract, revision, ch.id)
+	return err
+}
+
+// operations returns the transaction: the document at the index that was read,
+// claims of the new ports and the release of ports no longer used.
+func (ch *change) operations(held state) ([]operation, error) {
+	encoded, err := ch.proposed.Encode()
+	if err != nil {
+		return nil, err
+	}
+	operations := []operation{compareAndSet(contractPrefix+ch.customer, held.index, encoded)}
+	next := ch.newPorts()
+	for _, port := range next {
+		owner := held.claims[port]
+		if owner.index == 0 {
+			operations = append(operations, compareAndSet(addressKey(port), 0, []byte(ch.customer)))
+			continue
+		}
+		operations = append(operations, checkIndex(addressKey(port), owner.index))
+	}
+	for _, port := range held.ports() {
+		owner := held.claims[port]
+		if owner.owner == ch.customer && !slices.Contains(next, port) {
+			operations = append(operations, compareAndDelete(addressKey(port), owner.index))
+		}
+	}
+	return operations, nil
+}
+
+func (ch *change) newPorts() []uint16 {
+	if ch.contract == nil {
+		return nil
+	}
+	return ch.contract.Ports()
+}
+
+// ports returns the ports of the stored contract.
+func (s state) ports() []uint16 {
+	if s.document == nil {
+		return nil
+	}
+	held, ok := s.document.Contract()
+	if !ok {
+		return nil
+	}
+	return held.Ports()
+}
+
+func addressKey(port uint16) string {
+	return addressPrefix + strconv.Itoa(int(port))
+}
