--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := bin
 TOOLS := $(abspath $(BIN)/tools)
 
-.PHONY: all build tools lint format generate test demo
+.PHONY: all build tools lint format generate test demo bench
 
 all: build
 
@@ -29,3 +29,6 @@
 
 demo: build
 	$(BIN)/orioledyke-demo
+
+bench:
+	$(GO) test -run '^$$' -bench 'Route|TableChange|Forward' ./internal/balancer/...
--- a/internal/balancer/node/reader.go
+++ b/internal/balancer/node/reader.go
@@ -3,12 +3,17 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/orioledyke/orioledyke/internal/control/contract"
 	"github.com/orioledyke/orioledyke/internal/control/peer"
 	"go.uber.org/zap"
 )
 
+// readRetry is the time between two attempts to read all contracts, in addition to
+// the backoff of each.
+const readRetry = time.Second
+
 // reader follows the contracts in the platform while this balancer is one of the
 // readers of its data centre. Two readers or none at times do no harm: revisions
 // decide which contract is newer.
@@ -64,10 +69,36 @@
 	case p = <-r.peer:
 		r.peer <- p
 	}
-	if err := r.node.platform.WatchContracts(ctx, func(d contract.Document) {
-		r.publish(p, d)
-	}, p.MarkComplete); err != nil && ctx.Err() == nil {
-		r.logger.Error("contract-watch-ended", zap.Error(err))
+	if !r.readAll(ctx, p) {
+		return
+	}
+	// The error tells only that ctx has ended.
+	_ = r.node.platform.WatchContracts(ctx, func(d contract.Document) { r.publish(p, d) })
+}
+
+// readAll publishes all contracts. It repeats that until the platform answers,
+// and reports false if ctx ends before.
+func (r *reader) readAll(ctx context.Context, p *peer.Balancer) bool {
+	retry := time.NewTicker(readRetry)
+	defer retry.Stop()
+	for {
+		documents, err := r.node.platform.Contracts(ctx)
+		if err == nil {
+			for _, d := range documents {
+				r.publish(p, d)
+			}
+			p.MarkComplete()
+			return true
+		}
+		if ctx.Err() != nil {
+			return false
+		}
+		r.logger.Warn("contracts-unavailable", zap.Error(err))
+		select {
+		case <-ctx.Done():
+			return false
+		case <-retry.C:
+		}
 	}
 }
 
--- a/internal/cli/commands/root.go
+++ b/internal/cli/commands/root.go
@@ -25,6 +25,8 @@
 		ErrWriter:             stderr,
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
+			newBalancerCommand(),
+			newSidecarCommand(),
 			newVersionCommand(),
 		},
 	}
--- a/internal/sidecar/client/conn.go
+++ b/internal/sidecar/client/conn.go
@@ -43,8 +43,8 @@
 	Siblings func() map[identity.OwnerID]Load
 	// Address returns the tunnel address of a sibling.
 	Address func(identity.OwnerID) (netip.AddrPort, bool)
-	// Received gets the payload of datagrams that siblings sent for themselves.
-	Received func(header tunnel.Header, from netip.AddrPort, payload []byte)
+	// Received gets the load messages of siblings.
+	Received func(sender identity.OwnerID, payload []byte)
 }
 
 // Conn is a net.PacketConn that carries the QUIC packets of clients over the
@@ -136,7 +136,7 @@
 	case Relay:
 		c.relay(header, decision.Owner, via, payload)
 	case Receive:
-		c.config.Received(header, from, payload)
+		c.config.Received(header.Sender, payload)
 	case Answer:
 		// A reply that is lost is asked for again.
 		_ = c.Send(tunnel.TypeProbeReply, c.config.Self, from, nil)
--- a/internal/sidecar/node/node.go
+++ b/internal/sidecar/node/node.go
@@ -266,7 +266,13 @@
 // a contract stays in the state joining and gets no flows.
 func (n *node) reportLoad(ctx context.Context) error {
 	state, weight := membership.StateJoining, 0
-	for range clock.SystemTicker(ctx, loadTick) {
+	ticks := clock.SystemTicker(ctx, loadTick)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticks:
+		}
 		load := n.handler.Load()
 		n.exchange.Tick(load, n.clock.Now())
 		nextState, nextWeight := n.announced(load.Leaving)
@@ -275,7 +281,6 @@
 			n.peer.Announce(state, weight)
 		}
 	}
-	return nil
 }
 
 func (n *node) announced(leaving bool) (membership.State, int) {
--- a/internal/wire/tunnel/tunnel.go
+++ b/internal/wire/tunnel/tunnel.go
@@ -68,6 +68,8 @@
 	Service identity.ServiceID
 	Owner   identity.OwnerID
 	Client  netip.AddrPort
+	// Sender is the process that sealed the datagram. Open sets it.
+	Sender identity.OwnerID
 }
 
 // ErrInvalid is returned for a datagram that was not sealed by a holder of the
@@ -129,6 +131,7 @@
 		Service: identity.ServiceID(identity.GetUint40(inner[1:])),
 		Owner:   identity.OwnerID(identity.GetUint48(inner[6:])),
 		Client:  netip.AddrPortFrom(address, binary.BigEndian.Uint16(inner[28:])),
+		Sender:  identity.OwnerID(identity.GetUint48(datagram[nonceOffset:])),
 	}
 	return h, inner[innerSize:], nil
 }
