--- /dev/null
+++ b/internal/sidecar/upstream/health.go
@@ -0,0 +1,145 @@
+package upstream
+
+import (
+	"math"
+
+	"github.com/orioledyke/orioledyke/internal/common/clock"
+)
+
+// Limits of the weight of an upstream.
+const (
+	MinWeight = 1
+	MaxWeight = 16
+)
+
+const (
+	slowStart = 30 * clock.Second
+	// failureHalfLife makes the weight recover when a low weight leaves too little
+	// traffic to measure.
+	failureHalfLife = 2 * clock.Second
+	// failureWeight is the weight of one failure in the failure level.
+	failureWeight = 1.0 / 8
+	// baselineWeight and currentWeight are those of a new response time in the
+	// usual and in the present one.
+	baselineWeight = 1.0 / 128
+	currentWeight  = 1.0 / 8
+	// toleratedSlowdown is how many times slower than usual responses may be
+	// without effect on the weight.
+	toleratedSlowdown = 2.0
+	// maxSlowdown keeps one response on a silent connection from excluding the
+	// upstream.
+	maxSlowdown = 16.0
+	// failingWeight is the limit while the health endpoint reports a failure. It
+	// may lag or be wrong, so it does not exclude the upstream.
+	failingWeight = 4
+)
+
+// Result tells how a request to the upstream ended.
+type Result uint8
+
+// Results of requests.
+const (
+	Answered Result = iota + 1
+	// Shed is an answer with status 503 or 429.
+	Shed
+	// Failed is a request without an answer.
+	Failed
+	// Unreachable is a connection that could not be opened.
+	Unreachable
+)
+
+// Health judges an upstream by what is measured. It is not safe for concurrent
+// use.
+type Health struct {
+	started   clock.Millis
+	down      bool
+	failures  float64
+	updated   clock.Millis
+	slowdown  float64
+	baselines map[string]float64
+	failing   bool
+	draining  bool
+}
+
+// NewHealth returns the Health of an upstream that starts now.
+func NewHealth(now clock.Millis) *Health {
+	return &Health{started: now, updated: now, slowdown: 1, baselines: map[string]float64{}}
+}
+
+// Record adds the result of one request. The elapsed time until the response
+// header counts for Answered only.
+func (h *Health) Record(kind string, result Result, elapsed, now clock.Millis) {
+	h.decay(now)
+	switch result {
+	case Answered:
+		h.recordTime(kind, float64(max(elapsed, 1)))
+		h.failures -= h.failures * failureWeight
+	case Shed, Failed:
+		h.failures += (1 - h.failures) * failureWeight
+	case Unreachable:
+		h.down = true
+		return
+	}
+	h.reached(now)
+}
+
+// reached ends an outage: the process behind the address is a new one and starts
+// cold.
+func (h *Health) reached(now clock.Millis) {
+	if h.down {
+		h.down = false
+		h.started = now
+	}
+}
+
+func (h *Health) recordTime(kind string, elapsed float64) {
+	baseline, ok := h.baselines[kind]
+	if !ok {
+		h.baselines[kind] = elapsed
+		return
+	}
+	h.slowdown += (min(elapsed/baseline, maxSlowdown) - h.slowdown) * currentWeight
+	h.baselines[kind] += (elapsed - baseline) * baselineWeight
+}
+
+// Report records an answer of the upstream's own health endpoint, which can only
+// lower the weight.
+func (h *Health) Report(failing, draining bool, now clock.Millis) {
+	h.reached(now)
+	h.failing = failing
+	h.draining = draining
+}
+
+// Usual returns the usual response time of a kind, or zero if it is not known.
+func (h *Health) Usual(kind string) clock.Millis {
+	return clock.Millis(h.baselines[kind])
+}
+
+// Weight returns the weight from MinWeight to MaxWeight.
+func (h *Health) Weight(now clock.Millis) int {
+	h.decay(now)
+	if h.down || h.draining {
+		return MinWeight
+	}
+	weight := float64(MaxWeight) * (1 - h.failures)
+	if h.slowdown > toleratedSlowdown {
+		weight *= toleratedSlowdown / h.slowdown
+	}
+	warmth := min(float64(now-h.started)/float64(slowStart), 1)
+	weight = min(weight, MinWeight+(MaxWeight-MinWeight)*warmth)
+	if h.failing {
+		weight = min(weight, failingWeight)
+	}
+	return max(MinWeight, int(math.Round(weight)))
+}
+
+func (h *Health) decay(now clock.Millis) {
+	halves := float64(now-h.updated) / float64(failureHalfLife)
+	if halves <= 0 {
+		return
+	}
+	h.updated = now
+	factor := math.Exp2(-halves)
+	h.failures *= factor
+	h.slowdown = 1 + (h.slowdown-1)*factor
+}
