--- /dev/null
+++ b/internal/sidecar/sibling/server.go
@@ -0,0 +1,93 @@
+package sibling
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/orioledyke/orioledyke/internal/common/identity"
+	"github.com/orioledyke/orioledyke/internal/common/keyring"
+	"github.com/samber/oops"
+)
+
+const (
+	// pingAfter and pingTimeout find a silent connection within 4 s.
+	pingAfter   = 2 * time.Second
+	pingTimeout = 2 * time.Second
+
+	readHeaderTimeout = 5 * time.Second
+	maxStreams        = 1000
+)
+
+// Server receives requests from siblings.
+type Server struct {
+	config ServerConfig
+	server *http.Server
+}
+
+// ServerConfig configures a Server.
+type ServerConfig struct {
+	Self identity.OwnerID
+	Keys *keyring.Store
+	// Handler gets the requests. OriginOf tells how they came.
+	Handler http.Handler
+}
+
+// NewServer prepares a Server. It accepts requests when Serve is called.
+func NewServer(config ServerConfig) *Server {
+	s := &Server{config: config}
+	protocols := new(http.Protocols)
+	protocols.SetHTTP2(true)
+	s.server = &http.Server{
+		Handler:           s,
+		TLSConfig:         config.Keys.TLS("h2"),
+		Protocols:         protocols,
+		ReadHeaderTimeout: readHeaderTimeout,
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams: maxStreams, SendPingTimeout: pingAfter, PingTimeout: pingTimeout,
+		},
+	}
+	return s
+}
+
+// Serve accepts requests until ctx ends, and then waits for those in progress. It
+// closes the listener and returns nil then.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	stopped := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(stopped)
+		// The requests in progress end by their own deadlines.
+		_ = s.server.Shutdown(context.WithoutCancel(ctx))
+	})
+	err := s.server.Serve(tls.NewListener(listener, s.server.TLSConfig))
+	if !stop() {
+		<-stopped
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return oops.Code("sibling-accept-failed").Wrap(err)
+}
+
+// Close ends all connections at once.
+func (s *Server) Close() error { return s.server.Close() }
+
+// ServeHTTP passes a request on to the handler if it is for this sidecar.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	owner, origin, ok := readHeaders(r.Header)
+	if !ok {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if owner != s.config.Self {
+		// The address belonged to another process before.
+		w.Header().Set(hopHeader, misdirected)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	RemoveHeaders(r.Header)
+	s.config.Handler.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), originKey{}, origin)))
+}
