request: Serve requests from client to upstream

Cause: admission, tickets, upstream and siblings need one handler. Change: the handler with problem responses, retries within a budget of 10%, streaming, and the tests of lost, late and repeated answers, of leaving and of siblings. Faults found: TestStream hung before the header of a stream was flushed, because the header reached the client only together with the first part of the body. Ruled out: httputil.ReverseProxy, because it decides itself when to abort and what to copy.

--- /dev/null
+++ b/internal/sidecar/request/exchange.go
@@ -0,0 +1,157 @@
+package request
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/url"
+
+	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/control/contract"
+	"github.com/orioledyke/orioledyke/internal/sidecar/sibling"
+	"github.com/orioledyke/orioledyke/internal/sidecar/upstream"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+	"go.uber.org/zap"
+)
+
+// exchange is one request and its response.
+type exchange struct {
+	handler  *Handler
+	kind     contract.Kind
+	origin   sibling.Origin
+	w        http.ResponseWriter
+	r        *http.Request
+	started  clock.Millis
+	deadline clock.Millis
+	span     trace.Span
+	outcome  string
+
+	// ctx ends at the deadline with upstream.ErrDeadline.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	// unlimit removes the deadline.
+	unlimit func()
+}
+
+func (h *Handler) begin(w http.ResponseWriter, r *http.Request, kind contract.Kind) *exchange {
+	e := &exchange{handler: h, kind: kind, w: w, r: r, started: h.config.Clock.Now(), outcome: outcomeAborted}
+	e.origin = sibling.OriginOf(r.Context())
+	limit := kind.Deadline()
+	if limit <= 0 {
+		limit = defaultDeadline
+	}
+	if e.origin.TimeLeft > 0 {
+		limit = min(limit, e.origin.TimeLeft)
+	}
+	e.deadline = e.started + limit
+	ctx := r.Context()
+	if ticketed(kind) {
+		// The work goes on when its client is gone, so that a repeated request gets
+		// the response. A sidecar that received it from a sibling stops with it.
+		if e.origin.Hop != sibling.HandedOff {
+			ctx = context.WithoutCancel(ctx)
+		}
+	}
+	ctx = otel.GetTextMapPropagator().Extract(ctx, propagation.HeaderCarrier(r.Header))
+	ctx, e.span = tracer().Start(ctx, "request", trace.WithSpanKind(trace.SpanKindServer),
+		trace.WithAttributes(attribute.String("kind", kind.Name()), attribute.String("hop", string(e.origin.Hop))))
+	e.ctx, e.cancel = context.WithCancelCause(ctx)
+	e.unlimit = h.deadlines.add(e.deadline, func() { e.cancel(upstream.ErrDeadline) })
+	return e
+}
+
+// end releases what begin took. It also runs while a panic ends the response.
+func (e *exchange) end() {
+	e.unlimit()
+	e.cancel(nil)
+	elapsed := e.handler.config.Clock.Now() - e.started
+	e.handler.metrics.requests.WithLabelValues(e.kind.Name(), e.outcome).Inc()
+	e.handler.metrics.duration.WithLabelValues(e.kind.Name()).Observe(elapsed.Duration().Seconds())
+	e.span.SetAttributes(attribute.String("outcome", e.outcome))
+	if e.outcome == outcomeUnknown || e.outcome == outcomeAborted {
+		e.span.SetStatus(codes.Error, e.outcome)
+	}
+	e.span.End()
+}
+
+// serve answers a request that needs no ticket.
+func (e *exchange) serve() {
+	body, err := openSource(e.ctx, e.w, e.r)
+	if err != nil {
+		e.rejectBody(err)
+		return
+	}
+	result, f := e.execute(body)
+	if f != nil {
+		e.fail(f)
+		return
+	}
+	defer result.release()
+	e.outcome = outcomeAnswered
+	writeHeader(e.w, result.response.StatusCode, endToEnd(result.response.Header))
+	if e.kind.Stream() {
+		e.unlimit()
+		// The first part of the body can come much later than the header. A failure
+		// to flush shows again when the body is copied.
+		_ = http.NewResponseController(e.w).Flush()
+	}
+	e.finish(result, result.response.Body)
+}
+
+// finish sends the rest of the response. A body that breaks off ends the
+// connection to the client in an error, so that it is not taken for complete.
+func (e *exchange) finish(result *result, body interface{ Read([]byte) (int, error) }) {
+	if err := copyBody(e.w, body); err != nil {
+		e.outcome = outcomeAborted
+		if errors.Is(err, errClient) {
+			return
+		}
+		e.handler.config.Logger.Warn("response of the upstream broke off",
+			zap.String("kind", e.kind.Name()), zap.Error(err))
+		panic(http.ErrAbortHandler)
+	}
+	writeTrailer(e.w, result.response.Trailer)
+}
+
+func (e *exchange) rejectBody(err error) {
+	e.outcome = outcomeRejected
+	p := problem{Outcome: upstream.OutcomeNotRun}
+	switch {
+	case errors.Is(err, errBodyTooLarge):
+		p.Status = http.StatusRequestEntityTooLarge
+		p.Detail = "The body of a request that may not be repeated is limited to 1 MiB."
+	case errors.Is(err, upstream.ErrDeadline):
+		p.Status = http.StatusRequestTimeout
+		p.Detail = "The body did not arrive before the deadline."
+	default:
+		p.Status = http.StatusBadRequest
+		p.Detail = "The body could not be read."
+	}
+	writeProblem(e.w, p)
+}
+
+func (e *exchange) fail(f *failure) {
+	p := f.problem()
+	e.outcome = outcomeNotRun
+	if f.mayHaveRun {
+		e.outcome = outcomeUnknown
+	}
+	writeProblem(e.w, p)
+}
+
+// outgoing returns the request for the upstream or a sibling, without a body.
+func (e *exchange) outgoing(ctx context.Context) *http.Request {
+	header := endToEnd(e.r.Header)
+	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(header))
+	r := &http.Request{
+		Method: e.r.Method,
+		URL:    &url.URL{Path: e.r.URL.Path, RawPath: e.r.URL.RawPath, RawQuery: e.r.URL.RawQuery},
+		Header: header,
+		Host:   e.r.Host,
+	}
+	return r.WithContext(ctx)
+}
--- /dev/null
+++ b/internal/sidecar/request/handler_test.go
@@ -0,0 +1,230 @@
+package request_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/sidecar/sibling"
+)
+
+// TestLateAnswers guards against giving a client the answer to another client's
+// request when answers come late and out of order.
+func TestLateAnswers(t *testing.T) {
+	c := qt.New(t)
+	n := newNode(c, 1, testKeys(c))
+	n.handler.SetService(testService(c, strings.Replace(testContract, "slots: 1", "slots: 8", 1)))
+	var jobs []*work
+	var replies []<-chan reply
+	for i := range 8 {
+		replies = append(replies, async(func() reply { return n.get(fmt.Sprintf("/lists/%d", i)) }))
+		jobs = append(jobs, <-n.upstream.arrived)
+	}
+	for i := range jobs {
+		last := jobs[len(jobs)-1-i]
+		last.reply(last.r.URL.Path)
+	}
+	for i, r := range replies {
+		c.Assert((<-r).body, qt.Equals, fmt.Sprintf("/lists/%d", i))
+	}
+}
+
+// TestNoKind guards against passing on work that the contract does not list, also
+// when the path hides it.
+func TestNoKind(t *testing.T) {
+	c := qt.New(t)
+	n := newNode(c, 1, testKeys(c))
+	for _, path := range []string{"/", "/lists/../admin", "/lists/%2e%2e/admin", "/lists//x"} {
+		c.Assert(n.get(path).status, qt.Equals, http.StatusNotFound, qt.Commentf("%s", path))
+	}
+	c.Assert(n.do(context.Background(), http.MethodDelete, "/lists/1", "", "").status, qt.Equals, http.StatusNotFound)
+	c.Assert(n.upstream.runs.Load(), qt.Equals, int64(0))
+}
+
+// TestDeadline guards against work and queues that outlive their clients.
+func TestDeadline(t *testing.T) {
+	c := qt.New(t)
+	n := newNode(c, 1, testKeys(c))
+	first := async(func() reply { return n.get("/lists/1") })
+	job := <-n.upstream.arrived
+	c.Assert(job.r.Header.Get("Request-Timeout"), qt.Equals, "10000")
+	n.advance(clock.Second)
+	second := async(func() reply { return n.get("/lists/2") })
+	n.until(func(l sibling.Load) bool { return l.Queued == 1 })
+	n.advance(9 * clock.Second)
+	c.Assert((<-first).header.Get("Outcome"), qt.Equals, "unknown")
+	// Cancellation reaches the upstream, and its slot goes to the next request.
+	<-job.r.Context().Done()
+	(<-n.upstream.arrived).reply("2")
+	c.Assert((<-second).body, qt.Equals, "2")
+}
+
+// TestQueueOverflow guards against queueing work that cannot start in time, and
+// against refusals without a time to come back.
+func TestQueueOverflow(t *testing.T) {
+	c := qt.New(t)
+	n := newNode(c, 1, testKeys(c))
+	first := async(func() reply { return n.get("/lists/1") })
+	job := <-n.upstream.arrived
+	n.advance(8 * clock.Second)
+	job.reply("slow")
+	c.Assert((<-first).status, qt.Equals, http.StatusOK)
+	n.until(func(l sibling.Load) bool { return l.InUse == 0 })
+	replies := make(chan reply)
+	for i := range 20 {
+		go func() { replies <- n.get(fmt.Sprintf("/lists/%d", i)) }()
+	}
+	// One runs, 8 can start within the deadline at the measured service time of
+	// 1.1 s, and 11 cannot.
+	busy := <-n.upstream.arrived
+	refused := func(count int) {
+		for range count {
+			got := <-replies
+			c.Assert(got.header.Get("Outcome"), qt.Equals, "not-run")
+			c.Assert(got.header.Get("Retry-After"), qt.Not(qt.Equals), "")
+		}
+	}
+	refused(11)
+	c.Assert(n.handler.Load(), qt.Equals, sibling.Load{InUse: 1, Queued: 8})
+	n.advance(9 * clock.Second)
+	refused(8)
+	busy.reply("late")
+	c.Assert((<-replies).body, qt.Equals, "late")
+	c.Assert(n.upstream.runs.Load(), qt.Equals, int64(2))
+}
+
+// TestStream guards against streams that take the slots of short work, that are
+// delivered late, or that are opened without limit.
+func TestStream(t *testing.T) {
+	c := qt.New(t)
+	n := newNode(c, 1, testKeys(c))
+	var parts []chan string
+	var streams []*bufio.Reader
+	for range 2 {
+		opened := make(chan *http.Response, 1)
+		go func() {
+			response, err := n.client.Client().Get(n.client.URL + "/boards/1")
+			c.Check(err, qt.IsNil)
+			opened <- response
+		}()
+		stream := make(chan string)
+		parts = append(parts, stream)
+		job := <-n.upstream.arrived
+		job.answer <- func(w http.ResponseWriter) {
+			_ = http.NewResponseController(w).Flush()
+			for part := range stream {
+				_, _ = io.WriteString(w, part)
+				_ = http.NewResponseController(w).Flush()
+			}
+		}
+		// The header comes before the first part of the body.
+		response := <-opened
+		defer response.Body.Close()
+		streams = append(streams, bufio.NewReader(response.Body))
+	}
+	c.Assert(n.get("/boards/1").status, qt.Equals, http.StatusServiceUnavailable)
+	n.advance(clock.Minute)
+	list := async(func() reply { return n.get("/lists/1") })
+	(<-n.upstream.arrived).reply("list")
+	c.Assert((<-list).body, qt.Equals, "list")
+	for i, stream := range streams {
+		for range 2 {
+			parts[i] <- "full\n"
+			line, err := stream.ReadString('\n')
+			c.Assert(err, qt.IsNil)
+			c.Assert(line, qt.Equals, "full\n")
+		}
+		close(parts[i])
+		_, err := stream.ReadByte()
+		c.Assert(err, qt.Equals, io.EOF)
+	}
+}
+
+// TestBrokenResponse guards against an incomplete answer that looks complete.
+func TestBrokenResponse(t *testing.T) {
+	c := qt.New(t)
+	n := newNode(c, 1, testKeys(c))
+	first := async(func() reply { return n.get("/lists/1") })
+	(<-n.upstream.arrived).answer <- func(w http.ResponseWriter) {
+		_, _ = io.WriteString(w, "half")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	c.Assert((<-first).err, qt.Not(qt.IsNil))
+}
+
+// TestRetryBudget guards against retries above 10% of first attempts, and against
+// none for a request that may be repeated.
+func TestRetryBudget(t *testing.T) {
+	c := qt.New(t)
+	n := newNode(c, 1, testKeys(c))
+	go func() {
+		for job := range n.upstream.arrived {
+			job.breakOff()
+		}
+	}()
+	for range 100 {
+		c.Assert(n.get("/lists/1").header.Get("Outcome"), qt.Equals, "unknown")
+	}
+	c.Assert(n.upstream.runs.Load(), qt.Equals, int64(110))
+}
+
+// TestUnreachable guards against "unknown" where the connection to the upstream
+// was never opened, and against a later copy of refused work running.
+func TestUnreachable(t *testing.T) {
+	c := qt.New(t)
+	n := newNode(c, 1, testKeys(c))
+	key := n.ticket()
+	n.upstream.server.Close()
+	for range 2 {
+		c.Assert(n.hold(key, "willow").header.Get("Outcome"), qt.Equals, "not-run")
+	}
+	c.Assert(n.get("/lists/1").header.Get("Outcome"), qt.Equals, "not-run")
+	c.Assert(n.handler.Weight(), qt.Equals, 1)
+}
+
+// TestHeaders guards against headers of one connection that reach the next one,
+// and against clients that pose as siblings.
+func TestHeaders(t *testing.T) {
+	c := qt.New(t)
+	n := newNode(c, 1, testKeys(c))
+	r, err := http.NewRequest(http.MethodPost, n.client.URL+"/holds/1?x=1", nil)
+	c.Assert(err, qt.IsNil)
+	r.Header = http.Header{
+		"Connection": {"X-Private"}, "X-Private": {"1"}, "Te": {"trailers"}, "Orioledyke-Hop": {"hand-off"},
+		"Traceparent": {"00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"},
+	}
+	response, err := n.client.Client().Do(r)
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.Body.Close(), qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusPreconditionRequired)
+	r.Header.Set("Idempotency-Key", response.Header.Get("Request-Ticket"))
+	done := async(func() reply {
+		response, err := n.client.Client().Do(r)
+		if err != nil {
+			return reply{err: err}
+		}
+		return reply{status: response.StatusCode, header: response.Header, err: response.Body.Close()}
+	})
+	job := <-n.upstream.arrived
+	c.Assert(job.r.RequestURI, qt.Equals, "/holds/1?x=1")
+	for _, name := range []string{"X-Private", "Te", "Orioledyke-Hop", "Connection"} {
+		c.Assert(job.r.Header.Get(name), qt.Equals, "", qt.Commentf("%s", name))
+	}
+	c.Assert(job.r.Header.Get("Traceparent"), qt.Contains, "0af7651916cd43dd8448eb211c80319c")
+	job.answer <- func(w http.ResponseWriter) {
+		w.Header()["Keep-Alive"] = []string{"timeout=5"}
+		w.Header().Set("Etag", "e")
+		w.WriteHeader(http.StatusCreated)
+	}
+	got := <-done
+	c.Assert(got.status, qt.Equals, http.StatusCreated)
+	c.Assert(got.header.Get("Keep-Alive"), qt.Equals, "")
+	c.Assert(got.header.Get("Etag"), qt.Equals, "e")
+}
--- /dev/null
+++ b/internal/sidecar/request/match.go
@@ -0,0 +1,37 @@
+package request
+
+import (
+	"net/http"
+	"path"
+	"strings"
+
+	"github.com/orioledyke/orioledyke/internal/control/contract"
+)
+
+// match returns the first kind of the contract that fits the request.
+func (h *Handler) match(r *http.Request) (contract.Kind, bool) {
+	if !canonical(r.URL.Path) {
+		return contract.Kind{}, false
+	}
+	h.mutex.Lock()
+	kinds := h.kinds
+	h.mutex.Unlock()
+	for _, kind := range kinds {
+		method := kind.Method() == "" || kind.Method() == r.Method
+		if method && strings.HasPrefix(r.URL.Path, kind.PathPrefix()) {
+			return kind, true
+		}
+	}
+	return contract.Kind{}, false
+}
+
+// canonical reports whether the path has no "." or ".." and no empty segment. An
+// upstream that resolves them could run another kind of work than the matched
+// one.
+func canonical(p string) bool {
+	if !strings.HasPrefix(p, "/") {
+		return false
+	}
+	clean := path.Clean(p)
+	return p == clean || p == clean+"/"
+}
