standin: Add an upstream with slots, cold start and drain

Cause: the demo and the sidecar's tests need an upstream that sheds work, starts cold, drains and reports its health late. Ruled out: counting a booking as run at its end, which hides one that was cancelled after it had begun. Conclusion: answers name the service and the request, so that misrouting shows.

--- /dev/null
+++ b/internal/standin/upstream/upstream_test.go
@@ -0,0 +1,141 @@
+package upstream
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/orioledyke/orioledyke/internal/common/clock"
+)
+
+func testConfig(now clock.Clock) Config {
+	return Config{
+		Service: GrowerPortal, Slots: 3, ServiceTime: 100, ColdStart: 10 * clock.Second, ColdFactor: 8,
+		DrainGrace: 2 * clock.Second, HealthLag: clock.Second, Seed: 1, Clock: now,
+	}
+}
+
+func send(s *Server, method, target, body string) *httptest.ResponseRecorder {
+	recorder := httptest.NewRecorder()
+	s.ServeHTTP(recorder, httptest.NewRequest(method, target, strings.NewReader(body)))
+	return recorder
+}
+
+// TestRequestsBeyondSlotsAreShed guards against an upstream that runs more
+// requests than it has slots, or counts a shed booking as run.
+func TestRequestsBeyondSlotsAreShed(t *testing.T) {
+	c := qt.New(t)
+	var manual clock.Manual
+	config := testConfig(manual.Clock())
+	entered, finish := make(chan struct{}), make(chan struct{})
+	config.Sleep = func(context.Context, clock.Millis) error {
+		entered <- struct{}{}
+		<-finish
+		return nil
+	}
+	s, err := New(config)
+	c.Assert(err, qt.IsNil)
+	var wait sync.WaitGroup
+	for range config.Slots {
+		wait.Go(func() { c.Check(send(s, "POST", "/bookings", `{"number":7}`).Code, qt.Equals, http.StatusOK) })
+	}
+	for range config.Slots {
+		<-entered
+	}
+	refused := send(s, "POST", "/bookings", `{"number":8}`)
+	c.Check(refused.Code, qt.Equals, http.StatusServiceUnavailable)
+	c.Check(refused.Header().Get("Outcome"), qt.Equals, "not-run")
+	c.Check(refused.Header().Get("Retry-After"), qt.Equals, "1")
+	close(finish)
+	wait.Wait()
+	c.Check(send(s, "GET", "/admin/runs", "").Body.String(), qt.Equals,
+		"{\"service\":\"grower-portal\",\"runs\":{\"7\":3},\"shed\":1}\n")
+	c.Check(s.state.inUse, qt.Equals, 0)
+}
+
+// TestDrainAnswersThenSheds guards against a drain that refuses at once, never
+// refuses, or shows in /health without the lag.
+func TestDrainAnswersThenSheds(t *testing.T) {
+	c := qt.New(t)
+	var manual clock.Manual
+	config := testConfig(manual.Clock())
+	config.Sleep = func(context.Context, clock.Millis) error { return nil }
+	s, err := New(config)
+	c.Assert(err, qt.IsNil)
+	booking := func() int { return send(s, "POST", "/bookings", `{"number":1}`).Code }
+	health := func() string { return strings.TrimSpace(send(s, "GET", "/health", "").Body.String()) }
+	send(s, "PUT", "/admin/drain", "")
+	c.Check(booking(), qt.Equals, http.StatusOK)
+	c.Check(health(), qt.Equals, `{"status":"serving"}`)
+	manual.Advance(clock.Second)
+	c.Check(health(), qt.Equals, `{"status":"draining"}`)
+	c.Check(booking(), qt.Equals, http.StatusOK)
+	manual.Advance(clock.Second)
+	c.Check(booking(), qt.Equals, http.StatusServiceUnavailable)
+	c.Check(send(s, "GET", "/board?number=1", "").Code, qt.Equals, http.StatusServiceUnavailable)
+	send(s, "DELETE", "/admin/drain", "")
+	c.Check(booking(), qt.Equals, http.StatusOK)
+}
+
+// TestServiceTimesFallAfterStart guards against an upstream that is warm at
+// once and against service times that differ between runs of one seed.
+func TestServiceTimesFallAfterStart(t *testing.T) {
+	c := qt.New(t)
+	mean := func(at clock.Millis) clock.Millis {
+		s := newState(testConfig(clock.Clock{}), 0)
+		var sum clock.Millis
+		for range 1000 {
+			sum += s.serviceTime(at)
+		}
+		return sum / 1000
+	}
+	c.Check(mean(0) > 7*mean(10*clock.Second), qt.IsTrue)
+	c.Check(mean(5*clock.Second) > 4*mean(10*clock.Second), qt.IsTrue)
+	c.Check(mean(10*clock.Second), qt.Equals, mean(20*clock.Second))
+	warm := mean(20 * clock.Second)
+	c.Check(warm > 90 && warm < 110, qt.IsTrue, qt.Commentf("%d", warm))
+}
+
+// TestBoardCountsUntilClosed guards against boards that skip a number or go on
+// after the client has closed.
+func TestBoardCountsUntilClosed(t *testing.T) {
+	c := qt.New(t)
+	var manual clock.Manual
+	config := testConfig(manual.Clock())
+	events := 0
+	config.Sleep = func(context.Context, clock.Millis) error {
+		if events++; events == 2 {
+			return context.Canceled
+		}
+		return nil
+	}
+	s, err := New(config)
+	c.Assert(err, qt.IsNil)
+	c.Check(send(s, "GET", "/board?number=9", "").Body.String(), qt.Equals,
+		"id: 1\ndata: {\"service\":\"grower-portal\",\"number\":9,\"sequence\":1}\n\n"+
+			"id: 2\ndata: {\"service\":\"grower-portal\",\"number\":9,\"sequence\":2}\n\n")
+}
+
+// TestCancelledRequestFreesItsSlot guards against slots that stay taken when
+// the caller gives up or its deadline passes.
+func TestCancelledRequestFreesItsSlot(t *testing.T) {
+	c := qt.New(t)
+	var manual clock.Manual
+	config := testConfig(manual.Clock())
+	config.Sleep = func(ctx context.Context, _ clock.Millis) error {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	s, err := New(config)
+	c.Assert(err, qt.IsNil)
+	request := httptest.NewRequest("POST", "/bookings", strings.NewReader(`{"number":1}`))
+	request.Header.Set(TimeoutHeader, "0")
+	recorder := httptest.NewRecorder()
+	s.ServeHTTP(recorder, request)
+	c.Check(recorder.Code, qt.Equals, http.StatusGatewayTimeout)
+	c.Check(s.state.inUse, qt.Equals, 0)
+}
