standin: Add the client's load and the commands of stand-ins

Cause: bookings, weigh-ins and boards must be counted by what became of them. Ruled out: one flow for each weigh-in; they share flows so that answers mixed up within a flow show.

--- /dev/null
+++ b/internal/standin/client/arrivals.go
@@ -0,0 +1,25 @@
+package client
+
+import (
+	"math/rand/v2"
+
+	"github.com/orioledyke/orioledyke/internal/common/clock"
+)
+
+// arrivals returns the times of a Poisson process with a rate in requests a
+// second, from 0 to the duration. They do not depend on answers: the load is
+// open-loop.
+func arrivals(random *rand.Rand, rate float64, duration clock.Millis) []clock.Millis {
+	if rate <= 0 {
+		return nil
+	}
+	var times []clock.Millis
+	at := 0.0
+	for {
+		at += random.ExpFloat64() / rate * float64(clock.Second)
+		if clock.Millis(at) >= duration {
+			return times
+		}
+		times = append(times, clock.Millis(at))
+	}
+}
--- /dev/null
+++ b/internal/standin/client/counts.go
@@ -0,0 +1,80 @@
+package client
+
+import "github.com/orioledyke/orioledyke/internal/common/clock"
+
+// Result is what became of a request.
+type Result uint8
+
+// Results of requests. BrokenFlow applies to boards only.
+const (
+	// Completed is the right answer to the request, or a board that was intact
+	// until the client closed it.
+	Completed Result = iota + 1
+	// NotRun is a request that was refused until the client gave up.
+	NotRun
+	// Unknown is a request that may have run.
+	Unknown
+	// Misrouted is a request that reached another service.
+	Misrouted
+	// NeighbourAnswer is an answer to another request.
+	NeighbourAnswer
+	// BrokenFlow is a board that ended, failed, fell silent or skipped a number
+	// while the client wanted it open.
+	BrokenFlow
+)
+
+// Counts are the results of one kind of work.
+type Counts struct {
+	Requests         int `json:"requests"`
+	Completed        int `json:"completed"`
+	NotRun           int `json:"not-run"`
+	Unknown          int `json:"unknown"`
+	Misrouted        int `json:"misrouted"`
+	NeighbourAnswers int `json:"neighbour-answers"`
+	BrokenFlows      int `json:"broken-flows"`
+	// Refusals and Repeats count attempts: "not run" answers and answers that
+	// were lost. They are no results.
+	Refusals int `json:"refusals"`
+	Repeats  int `json:"repeats"`
+}
+
+// Report holds the counts of every kind since the start.
+type Report struct {
+	Elapsed clock.Millis      `json:"elapsed-ms"`
+	Final   bool              `json:"final"`
+	Kinds   map[string]Counts `json:"kinds"`
+}
+
+// Total returns the sum over all kinds.
+func (r Report) Total() Counts {
+	var total Counts
+	for _, k := range r.Kinds {
+		total.Requests += k.Requests
+		total.Completed += k.Completed
+		total.NotRun += k.NotRun
+		total.Unknown += k.Unknown
+		total.Misrouted += k.Misrouted
+		total.NeighbourAnswers += k.NeighbourAnswers
+		total.BrokenFlows += k.BrokenFlows
+		total.Refusals += k.Refusals
+		total.Repeats += k.Repeats
+	}
+	return total
+}
+
+func (c *Counts) add(result Result) {
+	switch result {
+	case Completed:
+		c.Completed++
+	case NotRun:
+		c.NotRun++
+	case Unknown:
+		c.Unknown++
+	case Misrouted:
+		c.Misrouted++
+	case NeighbourAnswer:
+		c.NeighbourAnswers++
+	case BrokenFlow:
+		c.BrokenFlows++
+	}
+}
--- /dev/null
+++ b/internal/standin/client/exchange.go
@@ -0,0 +1,189 @@
+package client
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/quic-go/quic-go/http3"
+)
+
+const (
+	ticketHeader    = "Request-Ticket"
+	presentedHeader = "Idempotency-Key"
+	outcomeHeader   = "Outcome"
+
+	answerLimit = 1 << 20
+)
+
+// message is the body of an upstream's answer and of a board's events.
+type message struct {
+	Service  string `json:"service"`
+	Number   uint64 `json:"number"`
+	Sequence uint64 `json:"sequence"`
+}
+
+// runRequest runs one booking or weigh-in to its result.
+func (l *load) runRequest(ctx context.Context, k kind, number uint64) {
+	transport := l.shared[number%sharedFlows]
+	if !k.repeatable {
+		transport = l.newTransport()
+		defer transport.Close()
+	}
+	r := newRequest(k, number)
+	l.end(k, l.attempts(ctx, r, func(ticket string) answer { return l.exchange(ctx, transport, r, ticket) }), r)
+}
+
+// attempts sends until the request has a result or ctx ends.
+func (l *load) attempts(ctx context.Context, r *request, send func(ticket string) answer) Result {
+	ticket := ""
+	for {
+		a := send(ticket)
+		if a.lost && ctx.Err() != nil {
+			return r.giveUp()
+		}
+		s := r.next(a)
+		if s.result != 0 {
+			return s.result
+		}
+		if s.wait > 0 && !pause(ctx, s.wait) {
+			return r.giveUp()
+		}
+		ticket = s.ticket
+	}
+}
+
+// exchange sends one attempt and reads its whole answer.
+func (l *load) exchange(ctx context.Context, transport *http3.Transport, r *request, ticket string) answer {
+	ctx, cancel := context.WithTimeout(ctx, l.config.AnswerTimeout.Duration())
+	defer cancel()
+	response, err := l.open(ctx, transport, r, ticket)
+	if err != nil {
+		return answer{lost: true}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, answerLimit))
+	if err != nil {
+		return answer{lost: true}
+	}
+	a := parseHeader(response)
+	if a.status != http.StatusOK {
+		return a
+	}
+	var m message
+	if err := json.Unmarshal(body, &m); err != nil {
+		return answer{lost: true}
+	}
+	a.service, a.number = m.Service, m.Number
+	return a
+}
+
+// open sends one attempt and returns when the header of its answer is there.
+func (l *load) open(ctx context.Context, transport *http3.Transport, r *request, ticket string) (*http.Response, error) {
+	method, url, body := http.MethodPost, "", fmt.Sprintf(`{"number":%d}`, r.number)
+	switch r.kind.name {
+	case weighIn.name:
+		url = fmt.Sprintf("https://%s/weigh-ins", l.config.Weighbridge)
+	case status.name:
+		method, body = http.MethodGet, ""
+		url = fmt.Sprintf("https://%s/board?number=%d", l.config.GrowerPortal, r.number)
+	default:
+		url = fmt.Sprintf("https://%s/bookings", l.config.GrowerPortal)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader([]byte(body)))
+	if err != nil {
+		return nil, err
+	}
+	if body == "" {
+		request.Body = nil
+	} else {
+		request.Header.Set("Content-Type", "application/json")
+	}
+	if ticket != "" {
+		request.Header.Set(presentedHeader, ticket)
+	}
+	return transport.RoundTrip(request)
+}
+
+func parseHeader(response *http.Response) answer {
+	a := answer{
+		status: response.StatusCode, outcome: response.Header.Get(outcomeHeader), ticket: response.Header.Get(ticketHeader),
+	}
+	if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil {
+		a.retryAfter = clock.Millis(seconds * float64(clock.Second))
+	}
+	return a
+}
+
+// runBoard opens a board and reads it until ctx ends, when the client closes it.
+func (l *load) runBoard(ctx context.Context, k kind, number uint64) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	transport := l.newTransport()
+	defer transport.Close()
+	r := newRequest(k, number)
+	var stream io.ReadCloser
+	result := l.attempts(ctx, r, func(ticket string) answer {
+		response, err := l.openWithin(ctx, transport, r, ticket)
+		if err != nil {
+			return answer{lost: true}
+		}
+		a := parseHeader(response)
+		if a.status == http.StatusOK {
+			stream = response.Body
+		} else {
+			_ = response.Body.Close()
+		}
+		return a
+	})
+	if stream != nil {
+		result = l.read(ctx, stream, newBoard(k.service, number, l.config.StallLimit, l.clock.Now()))
+		_ = stream.Close()
+	}
+	l.end(k, result, r)
+}
+
+// openWithin limits the wait for the header of the answer, but not the reading
+// of its body.
+func (l *load) openWithin(ctx context.Context, transport *http3.Transport, r *request, ticket string) (*http.Response, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	timer := time.AfterFunc(l.config.AnswerTimeout.Duration(), cancel)
+	response, err := l.open(ctx, transport, r, ticket)
+	if !timer.Stop() && err == nil {
+		_ = response.Body.Close()
+		err = context.DeadlineExceeded
+	}
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	return response, nil
+}
+
+// read checks the events of a board until ctx or the stream ends.
+func (l *load) read(ctx context.Context, stream io.Reader, b *board) Result {
+	scanner := bufio.NewScanner(stream)
+	for scanner.Scan() {
+		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		var m message
+		if err := json.Unmarshal([]byte(data), &m); err != nil {
+			return b.ended()
+		}
+		b.event(m.Service, m.Number, m.Sequence, l.clock.Now())
+	}
+	if ctx.Err() != nil {
+		return b.closed(l.clock.Now())
+	}
+	return b.ended()
+}
--- /dev/null
+++ b/internal/standin/commands/client.go
@@ -0,0 +1,89 @@
+package commands
+
+import (
+	"context"
+	"crypto/x509"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/standin/client"
+	"github.com/samber/oops"
+	"github.com/urfave/cli/v3"
+)
+
+const (
+	defaultDuration    = 15 * time.Second
+	defaultBookingRate = 40
+	defaultWeighInRate = 40
+	defaultBoardRate   = 3
+)
+
+func newClientCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "client",
+		Usage: "generate load over HTTP/3 and report counts as JSON lines",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "grower-portal", Usage: "`IP:PORT` of grower-portal at the fabric", Required: true},
+			&cli.StringFlag{Name: "weighbridge", Usage: "`IP:PORT` of weighbridge at the fabric", Required: true},
+			&cli.StringFlag{Name: "certificate-file", Usage: "PEM `FILE` of the trusted certificates", Required: true},
+			&cli.StringFlag{Name: "server-name", Usage: "`NAME` in the certificate", Value: "localhost"},
+			&cli.FloatFlag{Name: "booking-rate", Usage: "bookings a second", Value: defaultBookingRate},
+			&cli.FloatFlag{Name: "weigh-in-rate", Usage: "weigh-ins a second", Value: defaultWeighInRate},
+			&cli.FloatFlag{Name: "board-rate", Usage: "boards opened a second", Value: defaultBoardRate},
+			&cli.DurationFlag{Name: "duration", Usage: "`DURATION` of arrivals", Value: defaultDuration},
+			&cli.DurationFlag{Name: "answer-timeout", Usage: "`DURATION` to wait for one answer", Value: client.DefaultAnswerTimeout.Duration()},
+			&cli.DurationFlag{Name: "finish-timeout", Usage: "`DURATION` to finish requests in progress", Value: client.DefaultFinishTimeout.Duration()},
+			&cli.DurationFlag{Name: "stall-limit", Usage: "`DURATION` of silence that breaks a board", Value: client.DefaultStallLimit.Duration()},
+			&cli.Uint64Flag{Name: "first-number", Usage: "`NUMBER` of the first request", Value: 1},
+			&cli.Uint64Flag{Name: "seed", Usage: "`SEED` of the arrivals", Value: 1},
+		},
+		Action: runClient,
+	}
+}
+
+func runClient(ctx context.Context, command *cli.Command) error {
+	var services [2]netip.AddrPort
+	for i, flag := range []string{"grower-portal", "weighbridge"} {
+		var err error
+		if services[i], err = netip.ParseAddrPort(command.String(flag)); err != nil {
+			return fmt.Errorf("--%s: want IP:PORT, got %q", flag, command.String(flag))
+		}
+	}
+	roots, err := loadRoots(command.String("certificate-file"))
+	if err != nil {
+		return err
+	}
+	millis := func(flag string) clock.Millis { return clock.FromDuration(command.Duration(flag)) }
+	encoder := json.NewEncoder(command.Root().Writer)
+	report, err := client.Run(ctx, client.Config{
+		GrowerPortal: services[0], Weighbridge: services[1], Roots: roots, ServerName: command.String("server-name"),
+		BookingRate: command.Float("booking-rate"), WeighInRate: command.Float("weigh-in-rate"), BoardRate: command.Float("board-rate"),
+		Duration: millis("duration"), FinishTimeout: millis("finish-timeout"),
+		AnswerTimeout: millis("answer-timeout"), StallLimit: millis("stall-limit"),
+		FirstNumber: command.Uint64("first-number"), Seed: command.Uint64("seed"),
+		Report: func(r client.Report) { _ = encoder.Encode(r) },
+	})
+	if err != nil {
+		return err
+	}
+	if err := encoder.Encode(report); err != nil {
+		return oops.Wrapf(err, "write report")
+	}
+	return nil
+}
+
+func loadRoots(path string) (*x509.CertPool, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, oops.Code("certificate-unreadable").Wrapf(err, "read certificates")
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(data) {
+		return nil, oops.Code("certificate-invalid").Errorf("%s: want certificates in PEM", path)
+	}
+	return roots, nil
+}
