standin: Add the demo of the whole system

Cause: one command has to show that planned and unplanned changes under load break no flow and run nothing twice. Ruled out: one address for all hosts, because ephemeral ports of outgoing connections may take a port that was found free; each host has its own loopback address.

--- /dev/null
+++ b/internal/standin/demo/layout.go
@@ -0,0 +1,141 @@
+package demo
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+
+	"github.com/orioledyke/orioledyke/internal/standin/upstream"
+	"github.com/samber/oops"
+)
+
+const (
+	customer           = "presa-digital"
+	balancerCount      = 3
+	growerPortalCount  = 7
+	weighbridgeCount   = 3
+	upstreamCount      = growerPortalCount + weighbridgeCount
+	slotsPerUpstream   = 3
+	portAttempts       = 50
+	flowsPerUpstream   = 2000
+	certificateName    = "localhost"
+	balancerNetwork    = 1
+	sidecarNetwork     = 2
+	fabricHost         = 2
+	firstHostOfNetwork = 1
+)
+
+var dataCentres = []string{"hr-east-a", "hr-east-b", "hr-east-c"}
+
+// host is one host of the demo. Each has its own loopback address, so that the
+// ephemeral ports of outgoing connections, which use 127.0.0.1, never take a
+// port that a process is about to open.
+type host struct {
+	name       string
+	dataCentre string
+	address    netip.Addr
+	tunnel     netip.AddrPort
+	control    netip.AddrPort
+	observe    netip.AddrPort
+}
+
+// upstreamHost is a host with an upstream and its sidecar.
+type upstreamHost struct {
+	host
+	service  string
+	upstream netip.AddrPort
+}
+
+// layout holds the addresses of every process.
+type layout struct {
+	platform     netip.AddrPort
+	fabricAdmin  netip.AddrPort
+	entry        netip.Addr
+	growerPortal uint16
+	weighbridge  uint16
+	balancers    []host
+	upstreams    []upstreamHost
+}
+
+func loopback(network, number byte) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, 0, network, number})
+}
+
+// newLayout finds free ports by binding port 0.
+func newLayout() (*layout, error) {
+	ports := &allocator{}
+	defer ports.close()
+	l := &layout{entry: loopback(0, fabricHost)}
+	l.platform = ports.find(l.entry)
+	l.fabricAdmin = ports.find(l.entry)
+	entries := []netip.Addr{l.entry}
+	for i := range balancerCount {
+		b := ports.host(fmt.Sprintf("balancer-%d", i+1), i, loopback(balancerNetwork, byte(firstHostOfNetwork+i)))
+		l.balancers = append(l.balancers, b)
+		entries = append(entries, b.address)
+	}
+	l.growerPortal = ports.find(entries...).Port()
+	l.weighbridge = ports.find(entries...).Port()
+	for i := range upstreamCount {
+		service, number := upstream.GrowerPortal, i
+		if i >= growerPortalCount {
+			service, number = upstream.Weighbridge, i-growerPortalCount
+		}
+		h := ports.host(fmt.Sprintf("%s-%d", service, number+1), i, loopback(sidecarNetwork, byte(firstHostOfNetwork+i)))
+		l.upstreams = append(l.upstreams, upstreamHost{host: h, service: service, upstream: ports.find(h.address)})
+	}
+	return l, ports.err
+}
+
+// allocator holds the sockets of the ports found so far, so that all differ.
+type allocator struct {
+	held []interface{ Close() error }
+	err  error
+}
+
+func (a *allocator) close() {
+	for _, socket := range a.held {
+		_ = socket.Close()
+	}
+}
+
+func (a *allocator) host(name string, index int, address netip.Addr) host {
+	return host{
+		name: name, dataCentre: dataCentres[index%len(dataCentres)], address: address,
+		tunnel: a.find(address), control: a.find(address), observe: a.find(address),
+	}
+}
+
+// find returns a port that is free for TCP and UDP at every address, with the
+// first address.
+func (a *allocator) find(addresses ...netip.Addr) netip.AddrPort {
+	if a.err != nil {
+		return netip.AddrPort{}
+	}
+	for range portAttempts {
+		var port uint16
+		if port, a.err = a.bind(addresses); a.err == nil {
+			return netip.AddrPortFrom(addresses[0], port)
+		}
+	}
+	a.err = oops.Code("no-free-port").Wrap(a.err)
+	return netip.AddrPort{}
+}
+
+func (a *allocator) bind(addresses []netip.Addr) (uint16, error) {
+	port := uint16(0)
+	for _, address := range addresses {
+		tcp, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(netip.AddrPortFrom(address, port)))
+		if err != nil {
+			return 0, err
+		}
+		a.held = append(a.held, tcp)
+		port = tcp.Addr().(*net.TCPAddr).AddrPort().Port()
+		udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(address, port)))
+		if err != nil {
+			return 0, err
+		}
+		a.held = append(a.held, udp)
+	}
+	return port, nil
+}
--- /dev/null
+++ b/internal/standin/demo/outcome.go
@@ -0,0 +1,54 @@
+package demo
+
+import (
+	"fmt"
+
+	"github.com/orioledyke/orioledyke/internal/standin/client"
+	"github.com/orioledyke/orioledyke/internal/standin/upstream"
+)
+
+// outcome is what clients and upstreams saw.
+type outcome struct {
+	counts   client.Counts
+	runTwice int
+}
+
+// newOutcome joins the final counts of the clients with the runs of bookings at
+// each upstream.
+func newOutcome(counts client.Counts, runs []upstream.Runs) outcome {
+	total := map[uint64]int{}
+	for _, r := range runs {
+		for number, times := range r.Runs {
+			total[number] += times
+		}
+	}
+	o := outcome{counts: counts}
+	for _, times := range total {
+		if times > 1 {
+			o.runTwice++
+		}
+	}
+	return o
+}
+
+// passed reports whether the demo shows what it must: work was done, and nothing
+// was misrouted, mixed up, run twice or broken.
+func (o outcome) passed() bool {
+	return o.counts.Completed > 0 && o.counts.Misrouted == 0 && o.counts.NeighbourAnswers == 0 &&
+		o.runTwice == 0 && o.counts.BrokenFlows == 0
+}
+
+// String returns the last line of the demo.
+func (o outcome) String() string {
+	return fmt.Sprintf("demo: requests=%d completed=%d not-run=%d unknown=%d misrouted=%d neighbour-answers=%d run-twice=%d broken-flows=%d",
+		o.counts.Requests, o.counts.Completed, o.counts.NotRun, o.counts.Unknown,
+		o.counts.Misrouted, o.counts.NeighbourAnswers, o.runTwice, o.counts.BrokenFlows)
+}
+
+// progress returns the line of one second.
+func progress(r client.Report) string {
+	c := r.Total()
+	return fmt.Sprintf("demo: time=%ds requests=%d completed=%d not-run=%d unknown=%d misrouted=%d neighbour-answers=%d broken-flows=%d refusals=%d repeats=%d",
+		int(r.Elapsed.Duration().Seconds()), c.Requests, c.Completed, c.NotRun, c.Unknown,
+		c.Misrouted, c.NeighbourAnswers, c.BrokenFlows, c.Refusals, c.Repeats)
+}
