standin: Serve the platform stand-in from a command

Cause: the demo starts the platform as a separate process. Change: the command platform with the limits as flags. Ruled out: a switch for faults on the command line; /admin/switches sets them.

--- a/internal/standin/commands/root.go
+++ b/internal/standin/commands/root.go
@@ -31,6 +31,7 @@
 		OnUsageError:   func(_ context.Context, _ *cli.Command, err error, _ bool) error { return err },
 		Action:         requireCommand,
 		Commands: []*cli.Command{
+			newPlatformCommand(),
 			newFabricCommand(),
 			newUpstreamCommand(),
 			newClientCommand(),
