demo: End processes in stages and report how they ended

Cause: with every process ended at once, sidecars could not hear that clients had closed their flows and waited for their idle timeout. Change: clients end first, then sidecars, then the others, each stage with its own timeout; a process that had to be killed or ended with an error is printed. Ruled out: a longer timeout, which hides the cause. Conclusion: what still has to be killed points to a fault of that process.

--- a/internal/standin/demo/demo.go
+++ b/internal/standin/demo/demo.go
@@ -24,13 +24,18 @@
 	standinBinary = "orioledyke-standin"
 
 	readyTimeout = 30 * time.Second
-	// stopTimeout is longer than a balancer waits without datagrams and a sidecar
-	// for its last requests.
-	stopTimeout = 15 * time.Second
 	// removalDelay is how long the fabric keeps sending to the killed balancer.
 	removalDelay = time.Second
 )
 
+// stopTimeouts are longer than a client needs to close its flows, a sidecar to
+// end its last requests, and a balancer to see no datagram for 2 s.
+var stopTimeouts = [stageCount]time.Duration{
+	clientStage:  3 * time.Second,
+	sidecarStage: 10 * time.Second,
+	otherStage:   5 * time.Second,
+}
+
 // Config configures a run.
 type Config struct {
 	// Binaries is the directory of orioledyke and orioledyke-standin.
@@ -121,7 +126,7 @@
 func (r *run) startSystem(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
-	platform, err := r.processes.start("platform", nil, standinBinary, "platform", "--listen", r.layout.platform.String())
+	platform, err := r.processes.start(otherStage, "platform", nil, standinBinary, "platform", "--listen", r.layout.platform.String())
 	if err != nil {
 		return err
 	}
@@ -148,7 +153,7 @@
 // URL that shows their readiness.
 func (r *run) startHosts(ready map[*process]string) error {
 	for _, b := range r.layout.balancers {
-		p, err := r.processes.start(b.name, nil, productBinary, "balancer", "--settings", r.files.settings(b))
+		p, err := r.processes.start(otherStage, b.name, nil, productBinary, "balancer", "--settings", r.files.settings(b))
 		if err != nil {
 			return err
 		}
@@ -156,20 +161,20 @@
 		ready[p] = "http://" + b.observe.String() + "/ready"
 	}
 	for i, u := range r.layout.upstreams {
-		p, err := r.processes.start(u.name+"-upstream", nil, standinBinary, "upstream",
+		p, err := r.processes.start(otherStage, u.name+"-upstream", nil, standinBinary, "upstream",
 			"--listen", u.upstream.String(), "--service", u.service, "--slots", strconv.Itoa(slotsPerUpstream),
 			"--seed", strconv.FormatUint(r.config.Seed+uint64(i), 10))
 		if err != nil {
 			return err
 		}
 		ready[p] = "http://" + u.upstream.String() + "/admin/ready"
-		if p, err = r.processes.start(u.name+"-sidecar", nil, productBinary, "sidecar", "--settings", r.files.settings(u.host)); err != nil {
+		if p, err = r.processes.start(sidecarStage, u.name+"-sidecar", nil, productBinary, "sidecar", "--settings", r.files.settings(u.host)); err != nil {
 			return err
 		}
 		r.sidecars = append(r.sidecars, p)
 		ready[p] = "http://" + u.observe.String() + "/ready"
 	}
-	p, err := r.processes.start("fabric", nil, standinBinary, r.fabricArguments()...)
+	p, err := r.processes.start(otherStage, "fabric", nil, standinBinary, r.fabricArguments()...)
 	if err != nil {
 		return err
 	}
@@ -198,7 +203,7 @@
 	defer cancel()
 	reader, writer := io.Pipe()
 	defer reader.Close()
-	clients, err := r.processes.start("client", writer, standinBinary,
+	clients, err := r.processes.start(clientStage, "client", writer, standinBinary,
 		"client", "--certificate-file", r.files.certificate(), "--server-name", certificateName,
 		"--grower-portal", fmt.Sprintf("%s:%d", r.layout.entry, r.layout.growerPortal),
 		"--weighbridge", fmt.Sprintf("%s:%d", r.layout.entry, r.layout.weighbridge),
@@ -333,10 +338,7 @@
 }
 
 func (r *run) stop() {
-	// The context of the run may have ended already.
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
-	defer cancel()
-	for _, name := range r.processes.stop(ctx) {
-		r.print("demo: %s did not end within %s of SIGTERM and was killed", name, stopTimeout)
+	for _, fault := range r.processes.stop(stopTimeouts) {
+		r.print("demo: %s", fault)
 	}
 }
--- a/internal/standin/demo/demo_test.go
+++ b/internal/standin/demo/demo_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/goccy/go-yaml"
@@ -134,14 +135,12 @@
 	c.Assert(syscall.Mkfifo(fifo, 0o600), qt.IsNil)
 	script := "trap '' TERM\necho ready\nread line <" + fifo + "\n"
 	p := newProcesses(scripts(c, map[string]string{"stubborn": script}), c.TempDir())
-	started, err := p.start("stubborn", writer, "stubborn")
+	started, err := p.start(sidecarStage, "stubborn", writer, "stubborn")
 	c.Assert(err, qt.IsNil)
 	ready := make([]byte, len("ready\n"))
 	_, err = reader.Read(ready)
 	c.Assert(err, qt.IsNil)
-	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
-	c.Check(p.stop(ctx), qt.DeepEquals, []string{"stubborn"})
+	c.Check(p.stop([stageCount]time.Duration{}), qt.DeepEquals, []string{"stubborn did not end after SIGTERM and was killed"})
 	c.Check(syscall.Kill(started.command.Process.Pid, 0), qt.Equals, syscall.ESRCH)
 }
 
--- a/internal/standin/demo/process.go
+++ b/internal/standin/demo/process.go
@@ -23,9 +23,22 @@
 	probeTimeout = 2 * time.Second
 )
 
+// stage orders the ends of processes.
+type stage int
+
+// Clients end first and close their flows over an intact system. Sidecars end
+// next, so that their answers still pass the balancers.
+const (
+	clientStage stage = iota
+	sidecarStage
+	otherStage
+	stageCount
+)
+
 // process is one process that the demo started.
 type process struct {
 	name    string
+	stage   stage
 	command *exec.Cmd
 	logPath string
 	// ended is closed when the process has ended; err is set before.
@@ -33,6 +46,7 @@
 	err   error
 	// stopping is true once the demo has told the process to end.
 	stopping bool
+	killed   bool
 }
 
 // processes starts, watches and ends processes. Its methods are for one
@@ -53,7 +67,7 @@
 
 // start starts a binary; its output goes to the log of that name. If stdout is
 // not nil, it takes the standard output instead.
-func (p *processes) start(name string, stdout io.Writer, binary string, arguments ...string) (*process, error) {
+func (p *processes) start(s stage, name string, stdout io.Writer, binary string, arguments ...string) (*process, error) {
 	log, err := os.Create(filepath.Join(p.logs, name+".log"))
 	if err != nil {
 		return nil, oops.Wrapf(err, "create log")
@@ -71,7 +85,7 @@
 	if err := command.Start(); err != nil {
 		return nil, oops.Code("start-failed").Wrapf(err, "start %s", name)
 	}
-	started := &process{name: name, command: command, logPath: log.Name(), ended: make(chan struct{})}
+	started := &process{name: name, stage: s, command: command, logPath: log.Name(), ended: make(chan struct{})}
 	p.all = append(p.all, started)
 	go func() {
 		started.err = command.Wait()
@@ -83,7 +97,7 @@
 
 // run starts a binary and waits for its success.
 func (p *processes) run(ctx context.Context, name, binary string, arguments ...string) error {
-	started, err := p.start(name, nil, binary, arguments...)
+	started, err := p.start(otherStage, name, nil, binary, arguments...)
 	if err != nil {
 		return err
 	}
@@ -145,32 +159,59 @@
 }
 
 func (p *process) kill() {
-	p.stopping = true
+	p.stopping, p.killed = true, true
 	_ = p.command.Process.Kill()
 }
 
-// stop ends every process: SIGTERM, then SIGKILL for those that are still there
-// when ctx ends. It returns the names of those that it had to kill.
-func (p *processes) stop(ctx context.Context) []string {
-	for _, one := range p.all {
-		one.terminate()
+// stop ends the processes stage by stage: SIGTERM, then SIGKILL for those that
+// are still there after the stage's timeout. It returns a line for each process
+// that it had to kill or that ended with an error.
+func (p *processes) stop(timeouts [stageCount]time.Duration) []string {
+	var faults []string
+	for s, timeout := range timeouts {
+		faults = append(faults, p.stopStage(stage(s), timeout)...)
 	}
-	var killed []string
+	return faults
+}
+
+func (p *processes) stopStage(s stage, timeout time.Duration) []string {
+	var members []*process
 	for _, one := range p.all {
-		select {
-		case <-one.ended:
-			continue
-		default:
+		if one.stage == s {
+			members = append(members, one)
+			one.terminate()
 		}
-		select {
-		case <-one.ended:
-		case <-ctx.Done():
-			killed = append(killed, one.name)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	var faults []string
+	for _, one := range members {
+		if !one.endsBefore(ctx) {
+			faults = append(faults, one.name+" did not end after SIGTERM and was killed")
 			one.kill()
 			<-one.ended
 		}
+		if one.err != nil && !one.killed {
+			faults = append(faults, fmt.Sprintf("%s ended with %v", one.name, one.err))
+		}
+	}
+	return faults
+}
+
+// endsBefore reports whether the process ends before ctx. A process that has
+// ended counts even if ctx has ended too.
+func (p *process) endsBefore(ctx context.Context) bool {
+	select {
+	case <-p.ended:
+		return true
+	default:
+	}
+	select {
+	case <-p.ended:
+		return true
+	case <-ctx.Done():
+		return false
 	}
-	return killed
 }
 
 // request returns the status of a request without a body.
