standin: Repeat lost requests over a new flow

Change: a repeat after a lost answer uses a new flow; a shared flow that lost an answer is replaced for new requests. Ruled out: a shorter idle timeout, which would end boards in short gaps. Conclusion: the client gives up only when new flows do not work either.

--- a/internal/standin/client/exchange.go
+++ b/internal/standin/client/exchange.go
@@ -31,19 +31,42 @@
 	Sequence uint64 `json:"sequence"`
 }
 
+// flow is the QUIC connection that a request uses.
+type flow struct {
+	load      *load
+	transport *http3.Transport
+	shared    bool
+}
+
+// renew opens another flow after a lost answer, because the flow may have
+// fallen silent for ever while new ones work.
+func (f *flow) renew() {
+	if f.shared {
+		f.load.retire(f.transport)
+	}
+	f.close()
+	f.transport, f.shared = f.load.newTransport(), false
+}
+
+func (f *flow) close() {
+	if !f.shared {
+		_ = f.transport.Close()
+	}
+}
+
 // runRequest runs one booking or weigh-in to its result.
 func (l *load) runRequest(ctx context.Context, k kind, number uint64) {
-	transport := l.shared[number%sharedFlows]
+	f := &flow{load: l, transport: l.sharedTransport(number), shared: true}
 	if !k.repeatable {
-		transport = l.newTransport()
-		defer transport.Close()
+		f.transport, f.shared = l.newTransport(), false
 	}
+	defer f.close()
 	r := newRequest(k, number)
-	l.end(k, l.attempts(ctx, r, func(ticket string) answer { return l.exchange(ctx, transport, r, ticket) }), r)
+	l.end(k, l.attempts(ctx, r, f, func(ticket string) answer { return l.exchange(ctx, f.transport, r, ticket) }), r)
 }
 
 // attempts sends until the request has a result or ctx ends.
-func (l *load) attempts(ctx context.Context, r *request, send func(ticket string) answer) Result {
+func (l *load) attempts(ctx context.Context, r *request, f *flow, send func(ticket string) answer) Result {
 	ticket := ""
 	for {
 		a := send(ticket)
@@ -58,6 +81,9 @@
 			return r.giveUp()
 		}
 		ticket = s.ticket
+		if a.lost {
+			f.renew()
+		}
 	}
 }
 
@@ -127,12 +153,12 @@
 func (l *load) runBoard(ctx context.Context, k kind, number uint64) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	transport := l.newTransport()
-	defer transport.Close()
+	f := &flow{load: l, transport: l.newTransport()}
+	defer f.close()
 	r := newRequest(k, number)
 	var stream io.ReadCloser
-	result := l.attempts(ctx, r, func(ticket string) answer {
-		response, err := l.openWithin(ctx, transport, r, ticket)
+	result := l.attempts(ctx, r, f, func(ticket string) answer {
+		response, err := l.openWithin(ctx, f.transport, r, ticket)
 		if err != nil {
 			return answer{lost: true}
 		}
--- a/internal/standin/client/load.go
+++ b/internal/standin/client/load.go
@@ -8,6 +8,7 @@
 	"crypto/x509"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -73,6 +74,7 @@
 	config  Config
 	clock   clock.Clock
 	shared  []*http3.Transport
+	retired []*http3.Transport
 	mutex   sync.Mutex
 	counts  map[string]*Counts
 	numbers uint64
@@ -89,7 +91,7 @@
 		l.shared = append(l.shared, l.newTransport())
 	}
 	defer func() {
-		for _, t := range l.shared {
+		for _, t := range append(l.shared, l.retired...) {
 			_ = t.Close()
 		}
 	}()
@@ -147,6 +149,23 @@
 	}
 }
 
+func (l *load) sharedTransport(number uint64) *http3.Transport {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.shared[number%sharedFlows]
+}
+
+// retire replaces a shared transport for new requests. Those in progress keep
+// it.
+func (l *load) retire(old *http3.Transport) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if i := slices.Index(l.shared, old); i >= 0 {
+		l.shared[i] = l.newTransport()
+		l.retired = append(l.retired, old)
+	}
+}
+
 // generate starts the requests of one kind at their times of arrival.
 func (l *load) generate(ctx context.Context, wait *sync.WaitGroup, k kind, rate float64, duration clock.Millis, run func(context.Context, kind, uint64)) {
 	// The kind makes the streams of random numbers differ.
