standin: Tell why the fabric's network has its own context

Cause: the line that releases the context had no visible reason. Change: a comment. Ruled out: none. Conclusion: no change in behaviour.

--- a/internal/standin/fabric/network.go
+++ b/internal/standin/fabric/network.go
@@ -49,6 +49,7 @@
 		}
 		n.services = append(n.services, f)
 	}
+	// The context is needed only to end the first Fabrics when a later one fails.
 	context.AfterFunc(ctx, cancel)
 	return n, nil
 }
