--- a/internal/common/supervisor/supervisor.go
+++ b/internal/common/supervisor/supervisor.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/thejerf/suture/v4"
@@ -31,7 +30,7 @@
 		return suture.ErrDoNotRestart
 	}
 	if err == nil {
-		return errors.New("ended without an error")
+		return suture.ErrDoNotRestart
 	}
 	return err
 }
@@ -49,8 +48,8 @@
 	})}
 }
 
-// Add adds a part. It is restarted with a backoff when it returns before its
-// context ends.
+// Add adds a part. It is restarted with a backoff when it returns an error before
+// its context ends; nil means that its work is done.
 func (t *Tree) Add(name string, serve func(context.Context) error) {
 	t.supervisor.Add(service{name: name, serve: serve})
 }
--- a/internal/sidecar/client/server.go
+++ b/internal/sidecar/client/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"crypto/tls"
+	"errors"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -42,12 +43,14 @@
 	transport *quic.Transport
 	listener  *quic.EarlyListener
 	server    *http3.Server
+	conn      *Conn
 	flows     atomic.Int64
+	closed    atomic.Bool
 }
 
 // NewServer prepares a server. It accepts flows when Serve is called.
 func NewServer(config ServerConfig) (*Server, error) {
-	s := &Server{}
+	s := &Server{conn: config.Conn}
 	var resetKey quic.StatelessResetKey
 	// crypto/rand.Read never returns an error since Go 1.24.
 	_, _ = rand.Read(resetKey[:])
@@ -75,12 +78,13 @@
 	return s, nil
 }
 
-// Serve accepts flows until ctx ends. It returns nil then.
+// Serve accepts flows until ctx ends or the server is closed. It returns nil
+// then.
 func (s *Server) Serve(ctx context.Context) error {
 	for {
 		conn, err := s.listener.Accept(ctx)
 		if err != nil {
-			if ctx.Err() != nil {
+			if ctx.Err() != nil || s.closed.Load() {
 				return nil
 			}
 			return oops.Code("quic-accept-failed").Wrap(err)
@@ -91,6 +95,9 @@
 			// The error tells why the client or the server closed the flow, which
 			// the counters of requests show.
 			_ = s.server.ServeQUICConn(conn)
+			// After Shutdown a new flow is not served. Closing it at once makes the
+			// client open another one, which a sibling gets.
+			_ = conn.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeNoError), "")
 		}()
 	}
 }
@@ -98,15 +105,19 @@
 // Flows returns the number of open flows.
 func (s *Server) Flows() int { return int(s.flows.Load()) }
 
-// Shutdown sends GOAWAY on every flow, so that clients open no new request, and
-// returns when all requests have ended or ctx ends.
+// Shutdown sends GOAWAY on every flow, so that clients open no new request.
+// Requests in progress go on. It returns when every client has closed its flow,
+// which one without requests may never do, or when ctx ends; then all flows end.
 func (s *Server) Shutdown(ctx context.Context) error {
 	return s.server.Shutdown(ctx)
 }
 
-// Close ends all flows at once.
+// Close ends all flows at once and tells the clients. It closes the Conn.
 func (s *Server) Close() error {
-	return s.transport.Close()
+	s.closed.Store(true)
+	err := s.server.Close()
+	// The transport waits for its reader, which only the end of the Conn stops.
+	return errors.Join(err, s.conn.Close(), s.transport.Close())
 }
 
 // generator issues connection IDs that name this sidecar.
--- a/internal/sidecar/node/node.go
+++ b/internal/sidecar/node/node.go
@@ -33,6 +33,9 @@
 	// loadTick is the precision of load messages and of the announced weight.
 	loadTick        = 100 * clock.Millis(1)
 	shutdownTimeout = 2 * time.Second
+	// goAwayTime lets clients learn that the sidecar leaves, and siblings take
+	// over new flows, before idle flows are closed.
+	goAwayTime = 4 * time.Second
 )
 
 // node holds the parts of a running sidecar.
@@ -295,7 +298,8 @@
 }
 
 // drainAfter waits for stop, turns new flows away and waits until the requests
-// and streams in progress have ended.
+// and streams in progress have ended. Then it closes the flows that clients keep
+// open without a request.
 func (n *node) drainAfter(ctx, stop context.Context) {
 	select {
 	case <-ctx.Done():
@@ -304,12 +308,20 @@
 	}
 	n.logger.Info("draining", zap.Int("flows", n.server.Flows()))
 	n.handler.Leave()
-	if err := n.server.Shutdown(ctx); err != nil {
-		n.logger.Warn("drain-incomplete", zap.Error(err))
+	// The error tells that clients kept flows without a request, which Close ends.
+	go func() { _ = n.server.Shutdown(ctx) }()
+	settled := time.NewTimer(goAwayTime)
+	defer settled.Stop()
+	select {
+	case <-ctx.Done():
+	case <-settled.C:
 	}
 	if err := n.handler.Drain(ctx); err != nil {
 		n.logger.Warn("drain-incomplete", zap.Error(err))
 	}
+	if err := n.server.Close(); err != nil {
+		n.logger.Warn("drain-incomplete", zap.Error(err))
+	}
 }
 
 func (n *node) close() {
