telemetry: Record a span for each hop of a request

Cause: only the sidecar recorded spans, so a trace showed two hops of four. Change: client and upstream stand-ins record spans; the sidecar records the hop through the balancer, which sees only encrypted packets. Ruled out: following a client's decision to record. Clients are anonymous and could make every process write spans, so the ratio of the settings always holds.

--- /dev/null
+++ b/internal/common/telemetry/hop.go
@@ -0,0 +1,28 @@
+package telemetry
+
+import (
+	"net/http"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+)
+
+// Hop returns a handler that records a span around each request. The span's
+// parent comes from the traceparent header, and next finds the span in that
+// header and in the context of the request.
+func Hop(scope, name string, attributes func(*http.Request) []attribute.KeyValue, next http.Handler) http.Handler {
+	tracer := otel.Tracer(scope)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		carrier := propagation.HeaderCarrier(r.Header)
+		ctx := otel.GetTextMapPropagator().Extract(r.Context(), carrier)
+		ctx, span := tracer.Start(ctx, name, trace.WithSpanKind(trace.SpanKindServer))
+		defer span.End()
+		if attributes != nil && span.IsRecording() {
+			span.SetAttributes(attributes(r)...)
+		}
+		otel.GetTextMapPropagator().Inject(ctx, carrier)
+		next.ServeHTTP(w, r.WithContext(ctx))
+	})
+}
--- a/internal/common/telemetry/traces.go
+++ b/internal/common/telemetry/traces.go
@@ -55,14 +55,16 @@
 	return t, nil
 }
 
-// sampler records a share of the traces that start here and follows the
-// decision of the caller for the others. Without an output nothing starts here,
-// so that spans cost nothing, but the caller's decision is still passed on.
+// sampler records a share of all traces, chosen by their ID, so that every
+// process records the same ones. The request of a client to record its trace is
+// not enough: clients are anonymous, and spans cost processor time. Without an
+// output nothing is recorded.
 func sampler(config Config) sdktrace.Sampler {
 	if config.Traces.File == "" && config.Traces.OTLPEndpoint == "" {
-		return sdktrace.ParentBased(sdktrace.NeverSample())
+		return sdktrace.NeverSample()
 	}
-	return sdktrace.ParentBased(sdktrace.TraceIDRatioBased(config.Traces.Ratio()))
+	ratio := sdktrace.TraceIDRatioBased(config.Traces.Ratio())
+	return sdktrace.ParentBased(ratio, sdktrace.WithRemoteParentSampled(ratio))
 }
 
 func (t *traces) openFile(path string) (sdktrace.SpanExporter, error) {
--- a/internal/sidecar/client/conn.go
+++ b/internal/sidecar/client/conn.go
@@ -145,6 +145,11 @@
 	}
 }
 
+// Balancer returns the balancer through which replies to a client go.
+func (c *Conn) Balancer(client netip.AddrPort) (netip.AddrPort, bool) {
+	return c.paths.Choose(client)
+}
+
 func (c *Conn) deliver(client, via netip.AddrPort, payload []byte) {
 	c.paths.Heard(client, via, c.config.Clock.Now())
 	buffer := *c.buffers.Get().(*[]byte)
--- a/internal/sidecar/node/node.go
+++ b/internal/sidecar/node/node.go
@@ -5,6 +5,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"net/netip"
 	"net/url"
 	"os"
@@ -26,6 +27,7 @@
 	"github.com/orioledyke/orioledyke/internal/sidecar/upstream"
 	"github.com/orioledyke/orioledyke/internal/wire/tunnel"
 	"github.com/samber/oops"
+	"go.opentelemetry.io/otel/attribute"
 	"go.uber.org/zap"
 )
 
@@ -33,6 +35,7 @@
 	// loadTick is the precision of load messages and of the announced weight.
 	loadTick        = 100 * clock.Millis(1)
 	shutdownTimeout = 2 * time.Second
+	tracerName      = "github.com/orioledyke/orioledyke/internal/sidecar/node"
 	// goAwayTime lets clients learn that the sidecar leaves, and siblings take
 	// over new flows, before idle flows are closed.
 	goAwayTime = 4 * time.Second
@@ -201,7 +204,7 @@
 	var err error
 	if n.server, err = client.NewServer(client.ServerConfig{
 		Conn: n.conn, Self: n.self, Service: n.service, Keys: n.keys,
-		Certificate: n.certificate.GetCertificate, Handler: n.handler,
+		Certificate: n.certificate.GetCertificate, Handler: telemetry.Hop(tracerName, "balancer", n.balancerOf, n.handler),
 	}); err != nil {
 		return err
 	}
@@ -209,6 +212,20 @@
 	return nil
 }
 
+// balancerOf tells which balancer a request came through. The balancer cannot
+// record a span itself, because it sees only encrypted packets.
+func (n *node) balancerOf(r *http.Request) []attribute.KeyValue {
+	client, err := netip.ParseAddrPort(r.RemoteAddr)
+	if err != nil {
+		return nil
+	}
+	attributes := []attribute.KeyValue{attribute.String("client.address", client.String())}
+	if balancer, ok := n.conn.Balancer(client); ok {
+		attributes = append(attributes, attribute.String("balancer.address", balancer.String()))
+	}
+	return attributes
+}
+
 func (n *node) startPeer(ctx context.Context) error {
 	var err error
 	n.peer, err = peer.NewSidecar(ctx, peer.SidecarConfig{
--- a/internal/standin/client/exchange.go
+++ b/internal/standin/client/exchange.go
@@ -14,6 +14,9 @@
 
 	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/quic-go/quic-go/http3"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
 )
 
 const (
@@ -22,6 +25,8 @@
 	outcomeHeader   = "Outcome"
 
 	answerLimit = 1 << 20
+
+	tracerName = "github.com/orioledyke/orioledyke/internal/standin/client"
 )
 
 // message is the body of an upstream's answer and of a board's events.
@@ -136,6 +141,9 @@
 	if ticket != "" {
 		request.Header.Set(presentedHeader, ticket)
 	}
+	ctx, span := otel.Tracer(tracerName).Start(ctx, "client request", trace.WithSpanKind(trace.SpanKindClient))
+	defer span.End()
+	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(request.Header))
 	return transport.RoundTrip(request)
 }
 
--- a/internal/standin/commands/client.go
+++ b/internal/standin/commands/client.go
@@ -40,6 +40,7 @@
 			&cli.DurationFlag{Name: "stall-limit", Usage: "`DURATION` of silence that breaks a board", Value: client.DefaultStallLimit.Duration()},
 			&cli.Uint64Flag{Name: "first-number", Usage: "`NUMBER` of the first request", Value: 1},
 			&cli.Uint64Flag{Name: "seed", Usage: "`SEED` of the arrivals", Value: 1},
+			traceFlag(),
 		},
 		Action: runClient,
 	}
@@ -59,6 +60,10 @@
 	}
 	millis := func(flag string) clock.Millis { return clock.FromDuration(command.Duration(flag)) }
 	encoder := json.NewEncoder(command.Root().Writer)
+	traces, err := openTraces(command, "clients")
+	if err != nil {
+		return err
+	}
 	report, err := client.Run(ctx, client.Config{
 		GrowerPortal: services[0], Weighbridge: services[1], Roots: roots, ServerName: command.String("server-name"),
 		BookingRate: command.Float("booking-rate"), WeighInRate: command.Float("weigh-in-rate"), BoardRate: command.Float("board-rate"),
@@ -73,7 +78,7 @@
 	if err := encoder.Encode(report); err != nil {
 		return oops.Wrapf(err, "write report")
 	}
-	return nil
+	return closeTraces(traces)
 }
 
 func loadRoots(path string) (*x509.CertPool, error) {
--- a/internal/standin/commands/upstream.go
+++ b/internal/standin/commands/upstream.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
 	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/common/telemetry"
 	"github.com/orioledyke/orioledyke/internal/standin/upstream"
 	"github.com/urfave/cli/v3"
 )
@@ -35,6 +37,7 @@
 			&cli.DurationFlag{Name: "health-lag", Usage: "`DURATION` by which /health lags", Value: defaultHealthLag},
 			&cli.DurationFlag{Name: "board-interval", Usage: "`DURATION` between events of a board", Value: defaultBoardInterval},
 			&cli.Uint64Flag{Name: "seed", Usage: "`SEED` of the service times", Value: 1},
+			traceFlag(),
 		},
 		Action: runUpstream,
 	}
@@ -56,5 +59,10 @@
 	if err != nil {
 		return err
 	}
-	return serve(ctx, command.String("listen"), server)
+	traces, err := openTraces(command, command.String("service"))
+	if err != nil {
+		return err
+	}
+	handler := telemetry.Hop(tracerName, "upstream work", nil, server)
+	return errors.Join(serve(ctx, command.String("listen"), handler), closeTraces(traces))
 }
--- a/internal/standin/demo/demo.go
+++ b/internal/standin/demo/demo.go
@@ -22,6 +22,7 @@
 const (
 	productBinary = "orioledyke"
 	standinBinary = "orioledyke-standin"
+	clientName    = "client"
 
 	readyTimeout = 30 * time.Second
 	// removalDelay is how long the fabric keeps sending to the killed balancer.
@@ -161,7 +162,7 @@
 		ready[p] = "http://" + b.observe.String() + "/ready"
 	}
 	for i, u := range r.layout.upstreams {
-		p, err := r.processes.start(otherStage, u.name+"-upstream", nil, standinBinary, "upstream",
+		p, err := r.processes.start(otherStage, u.upstreamName(), nil, standinBinary, "upstream", "--trace-file", r.files.traceOf(u.upstreamName()),
 			"--listen", u.upstream.String(), "--service", u.service, "--slots", strconv.Itoa(slotsPerUpstream),
 			"--seed", strconv.FormatUint(r.config.Seed+uint64(i), 10))
 		if err != nil {
@@ -203,8 +204,8 @@
 	defer cancel()
 	reader, writer := io.Pipe()
 	defer reader.Close()
-	clients, err := r.processes.start(clientStage, "client", writer, standinBinary,
-		"client", "--certificate-file", r.files.certificate(), "--server-name", certificateName,
+	clients, err := r.processes.start(clientStage, clientName, writer, standinBinary,
+		"client", "--trace-file", r.files.traceOf(clientName), "--certificate-file", r.files.certificate(), "--server-name", certificateName,
 		"--grower-portal", fmt.Sprintf("%s:%d", r.layout.entry, r.layout.growerPortal),
 		"--weighbridge", fmt.Sprintf("%s:%d", r.layout.entry, r.layout.weighbridge),
 		"--duration", r.config.Duration.String(), "--seed", strconv.FormatUint(r.config.Seed, 10),
--- a/internal/standin/demo/files.go
+++ b/internal/standin/demo/files.go
@@ -90,7 +90,10 @@
 func (f files) contract() string        { return f.path("contract.yaml") }
 
 func (f files) settings(h host) string { return f.path(h.name + ".yaml") }
-func (f files) traces(h host) string   { return f.path(h.name + "-trace.json") }
+func (f files) traces(h host) string   { return f.traceOf(h.name) }
+
+// traceOf returns the trace file of a process with the given name.
+func (f files) traceOf(process string) string { return f.path(process + "-trace.json") }
 
 // write writes every file of the layout.
 func (f files) write(l *layout) error {
@@ -216,13 +219,16 @@
 
 // mergeTraces writes the spans of all processes to one file.
 func (f files) mergeTraces(l *layout, target string) error {
-	hosts := append([]host(nil), l.balancers...)
+	processes := []string{clientName}
+	for _, b := range l.balancers {
+		processes = append(processes, b.name)
+	}
 	for _, u := range l.upstreams {
-		hosts = append(hosts, u.host)
+		processes = append(processes, u.name, u.upstreamName())
 	}
 	var spans []byte
-	for _, h := range hosts {
-		data, err := os.ReadFile(f.traces(h))
+	for _, name := range processes {
+		data, err := os.ReadFile(f.traceOf(name))
 		if err != nil {
 			if os.IsNotExist(err) {
 				continue
--- a/internal/standin/demo/layout.go
+++ b/internal/standin/demo/layout.go
@@ -46,6 +46,9 @@
 	upstream netip.AddrPort
 }
 
+// upstreamName returns the name of the upstream's process.
+func (u upstreamHost) upstreamName() string { return u.name + "-upstream" }
+
 // layout holds the addresses of every process.
 type layout struct {
 	platform     netip.AddrPort
