--- a/internal/control/membership/actions.go
+++ b/internal/control/membership/actions.go
@@ -42,7 +42,10 @@
 
 // Actions is what the runtime must do, in the order of the fields.
 type Actions struct {
-	Close        []StreamID
+	Close []StreamID
+	// Release ends streams after the messages sent on them, so that the peer
+	// can tell it from a failure.
+	Release      []StreamID
 	OpenSync     []Open
 	OpenAnnounce []Open
 	Sync         []SyncSend
--- a/internal/control/membership/announcer.go
+++ b/internal/control/membership/announcer.go
@@ -129,7 +129,7 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(a.streams)) {
 		if !slices.Contains(targets, a.streams[id].address) {
-			out.Close = append(out.Close, id)
+			out.Release = append(out.Release, id)
 			delete(a.streams, id)
 		}
 	}
--- a/internal/control/membership/balancer.go
+++ b/internal/control/membership/balancer.go
@@ -117,6 +117,17 @@
 	return b.Tick(now)
 }
 
+// Released tells that the peer ended a stream on purpose. A member that chose
+// other watchers is alive, although this balancer may not know the others yet.
+func (b *Balancer) Released(now clock.Millis, stream StreamID) Actions {
+	if s, ok := b.sessions[stream]; ok {
+		if w, ok := b.watched[s.id]; ok {
+			w.heard, w.direct = now, false
+		}
+	}
+	return b.Closed(now, stream)
+}
+
 // Answered takes an answer from one of the balancer's own watchers.
 func (b *Balancer) Answered(now clock.Millis, stream StreamID, m *controlpb.AnnounceResponse) Actions {
 	if b.announcer.heard(now, stream, m.GetVersion()) == nil {
@@ -174,12 +185,13 @@
 	}
 }
 
-// expire drops old tombstones. While a data centre is unreachable they are
-// kept, because it may still hold live records of the same members.
+// expire drops old tombstones. They are kept while a data centre is unreachable
+// and until its records were exchanged, because it may still hold live records
+// of the same members.
 func (b *Balancer) expire(now clock.Millis) {
 	b.linkBackoff.forget(now)
 	b.announcer.backoff.forget(now)
-	if b.reach.anyUnreachable() {
+	if !b.reach.settled(now) {
 		return
 	}
 	for _, id := range b.table.expire(now) {
--- a/internal/control/membership/link.go
+++ b/internal/control/membership/link.go
@@ -84,7 +84,10 @@
 
 func (b *Balancer) checkLinks(now clock.Millis) {
 	for _, stream := range sortedStreams(b.links) {
-		if now >= b.links[stream].heard+SilenceTimeout {
+		l := b.links[stream]
+		// A neighbour whose first message was lost would stay nameless.
+		nameless := !l.greeted && now >= l.opened+SilenceTimeout
+		if nameless || now >= l.heard+SilenceTimeout {
 			b.out.Close = append(b.out.Close, stream)
 			b.closeLink(now, stream, true)
 		}
--- a/internal/control/membership/reachability.go
+++ b/internal/control/membership/reachability.go
@@ -16,6 +16,9 @@
 	// RetirementTimeout is how long a data centre stays unreachable before its
 	// records are removed.
 	RetirementTimeout = 60 * clock.Minute
+	// settleTime covers the delay before a neighbour is tried again (15 s) and
+	// several digests.
+	settleTime = clock.Minute
 )
 
 // reachability follows the heartbeat counter of each data centre.
@@ -25,6 +28,9 @@
 	// retired holds the last counter of each data centre that was removed.
 	// Neighbours remove it a little later and would bring its records back.
 	retired map[string]uint64
+	// partitioned is when a data centre was unreachable last, if wasPartitioned.
+	partitioned    clock.Millis
+	wasPartitioned bool
 }
 
 type counter struct {
@@ -78,6 +84,9 @@
 // check returns the data centres whose counters have now stood still for too
 // long, and those that must be removed.
 func (r *reachability) check(now clock.Millis) (lost, retired []string) {
+	if r.anyUnreachable() {
+		r.partitioned, r.wasPartitioned = now, true
+	}
 	for _, name := range slices.Sorted(maps.Keys(r.counters)) {
 		c := r.counters[name]
 		switch still := now - c.changed; {
@@ -115,6 +124,12 @@
 	return false
 }
 
+// settled reports whether all data centres have been reachable for so long that
+// both sides of the last partition have exchanged their records.
+func (r *reachability) settled(now clock.Millis) bool {
+	return !r.wasPartitioned || now >= r.partitioned+settleTime
+}
+
 func (r *reachability) isRetired(dataCentre string) bool {
 	_, ok := r.retired[dataCentre]
 	return ok
--- a/internal/control/membership/sidecar.go
+++ b/internal/control/membership/sidecar.go
@@ -20,7 +20,9 @@
 	announcer  *announcer
 	candidates []netip.AddrPort
 	seeds      []netip.AddrPort
+	// siblings includes tombstones; gone tells when their members ended.
 	siblings   map[identity.OwnerID]Record
+	gone       map[identity.OwnerID]clock.Millis
 	contracts  *Contracts
 	complete   bool
 	ticked     clock.Millis
@@ -31,7 +33,7 @@
 // NewSidecar returns the state machine of the member self.
 func NewSidecar(now clock.Millis, self Record) *Sidecar {
 	s := &Sidecar{
-		self: self, siblings: map[identity.OwnerID]Record{}, contracts: NewContracts(),
+		self: self, siblings: map[identity.OwnerID]Record{}, gone: map[identity.OwnerID]clock.Millis{}, contracts: NewContracts(),
 		ticked: now, seedsAsked: now - seedsInterval,
 	}
 	s.announcer = newAnnouncer(func() StreamID {
@@ -94,6 +96,7 @@
 	}
 	s.ticked = now
 	s.announcer.backoff.forget(now)
+	s.expire(now)
 	s.announcer.tick(now, s.self, slices.Concat(s.candidates, s.seeds), &out)
 	if !s.announcer.connected() && now >= s.seedsAsked+seedsInterval {
 		s.seedsAsked = now
@@ -102,6 +105,16 @@
 	return out
 }
 
+// expire drops old tombstones.
+func (s *Sidecar) expire(now clock.Millis) {
+	for id, at := range s.gone {
+		if now >= at+TombstoneLifetime {
+			delete(s.gone, id)
+			delete(s.siblings, id)
+		}
+	}
+}
+
 // Closed tells that a stream failed.
 func (s *Sidecar) Closed(now clock.Millis, stream StreamID) Actions {
 	s.announcer.closed(now, stream, s.self)
@@ -149,6 +162,10 @@
 	}
 	if old, ok := s.siblings[r.ID()]; !ok || r.Beats(old) {
 		s.siblings[r.ID()] = r
+		delete(s.gone, r.ID())
+		if r.State().Gone() {
+			s.gone[r.ID()] = now
+		}
 		out.SiblingsChanged = true
 	}
 }
@@ -181,6 +198,7 @@
 	maps.DeleteFunc(s.siblings, func(id identity.OwnerID, _ Record) bool {
 		_, ok := known[id]
 		if !ok {
+			delete(s.gone, id)
 			out.SiblingsChanged = true
 		}
 		return !ok
--- a/internal/control/membership/view.go
+++ b/internal/control/membership/view.go
@@ -105,9 +105,11 @@
 	class := 0
 	if balancer.DataCentre() != member.DataCentre() {
 		class = 1
-	}
-	if b.reach.unreachable(balancer.DataCentre()) {
-		class = 2
+		// Balancers of the member's own data centre stay first: whether this
+		// side of a partition reaches them does not matter to the member.
+		if b.reach.unreachable(balancer.DataCentre()) {
+			class = 2
+		}
 	}
 	return class + 3*leavingLast(balancer)
 }
--- a/internal/control/membership/watch.go
+++ b/internal/control/membership/watch.go
@@ -13,6 +13,10 @@
 	// never heard: the member must lose its old watcher, be told of the new one
 	// and connect.
 	firstHeartbeatTimeout = 10 * clock.Second
+	// foreignTimeout replaces SilenceTimeout for members of a data centre without
+	// balancers. It is longer than UnreachableTimeout, so that a partition is
+	// recognized first.
+	foreignTimeout = UnreachableTimeout + 2*clock.Second
 	// isolatedTimeout replaces SilenceTimeout while this balancer hears nobody
 	// at all, which is more likely its own fault.
 	isolatedTimeout = 30 * clock.Second
@@ -66,6 +70,11 @@
 // refreshWatched selects the watched members again after the set of balancers
 // changed. It looks only at data centres about which this balancer decides.
 func (b *Balancer) refreshWatched(now clock.Millis) {
+	for _, id := range slices.Sorted(maps.Keys(b.watched)) {
+		// The data centre may have had no balancer until now.
+		r, _ := b.table.Get(id)
+		b.updateWatch(now, r)
+	}
 	for name, d := range b.table.dataCentres {
 		if name != b.self.DataCentre() && d.hadBalancer {
 			continue
@@ -86,25 +95,44 @@
 }
 
 func (b *Balancer) checkWatched(now clock.Millis) {
+	if !b.complete {
+		// The members may have other watchers that are not known yet.
+		return
+	}
 	isolated := b.isolated(now)
+	partitioned := b.reach.anyUnreachable()
 	for _, id := range slices.Sorted(maps.Keys(b.watched)) {
+		r, _ := b.table.Get(id)
 		w := b.watched[id]
-		timeout := SilenceTimeout
-		if !w.direct {
-			timeout = firstHeartbeatTimeout
-		}
-		if isolated {
-			timeout = isolatedTimeout
-		}
+		foreign := r.DataCentre() != b.self.DataCentre()
 		if refuted, ok := b.refuted[id]; ok && now < refuted.until {
 			continue
 		}
-		if now >= w.heard+timeout {
+		if foreign && partitioned {
+			// The other side may still hear the member, which needs time to
+			// connect to this side again.
+			w.heard, w.direct = now, false
+			continue
+		}
+		if now >= w.heard+w.timeout(isolated, foreign) {
 			b.declareDead(now, id)
 		}
 	}
 }
 
+func (w *watch) timeout(isolated, foreign bool) clock.Millis {
+	switch {
+	case isolated:
+		return isolatedTimeout
+	case !w.direct:
+		return firstHeartbeatTimeout
+	case foreign:
+		return foreignTimeout
+	default:
+		return SilenceTimeout
+	}
+}
+
 func (b *Balancer) declareDead(now clock.Millis, id identity.OwnerID) {
 	r, ok := b.table.Get(id)
 	if !ok || r.State().Gone() {
--- a/internal/control/peer/balancer.go
+++ b/internal/control/peer/balancer.go
@@ -72,6 +72,7 @@
 	b.machine = membership.NewBalancer(config.Clock.Now(), newSelf(config.Self))
 	r := b.runtime
 	r.onSeeds, r.onClosed, r.onAnswer = b.machine.Seeds, b.machine.Closed, b.machine.Answered
+	r.onReleased = b.machine.Released
 	r.onSync, r.onTick = b.machine.Receive, b.machine.Tick
 	r.queueActions = b.queueActions
 	b.server = grpc.NewServer(
--- a/internal/control/peer/peer_test.go
+++ b/internal/control/peer/peer_test.go
@@ -114,7 +114,10 @@
 
 // until receives events until one satisfies the condition.
 func until[T any](events <-chan T, satisfied func(T) bool) {
-	for !satisfied(<-events) {
+	for event := range events {
+		if satisfied(event) {
+			return
+		}
 	}
 }
 
--- a/internal/control/peer/runtime.go
+++ b/internal/control/peer/runtime.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net/netip"
 	"sync"
 	"time"
@@ -50,6 +52,7 @@
 	callbackDue  chan struct{}
 	onSeeds      func(now clock.Millis, addresses []netip.AddrPort) membership.Actions
 	onClosed     func(now clock.Millis, id membership.StreamID) membership.Actions
+	onReleased   func(now clock.Millis, id membership.StreamID) membership.Actions
 	onAnswer     func(now clock.Millis, id membership.StreamID, m *controlpb.AnnounceResponse) membership.Actions
 	onSync       func(now clock.Millis, id membership.StreamID, m *controlpb.SyncMessage) membership.Actions
 	onTick       func(now clock.Millis) membership.Actions
@@ -63,6 +66,16 @@
 	closed bool
 }
 
+// finish ends the stream after its queued messages, or by force if the peer does
+// not end its side in time. The caller holds the lock.
+func (s *stream) finish() {
+	if !s.closed {
+		s.closed = true
+		close(s.outbox)
+		time.AfterFunc(farewellTimeout, s.cancel)
+	}
+}
+
 // transport hides the types of a gRPC stream.
 type transport struct {
 	send    func(proto.Message) error
@@ -148,6 +161,11 @@
 			s.cancel()
 		}
 	}
+	for _, id := range actions.Release {
+		if s, ok := r.streams[id]; ok {
+			s.finish()
+		}
+	}
 	for _, o := range actions.OpenSync {
 		r.open(o, openSync, func(m proto.Message) {
 			r.step(func(now clock.Millis) membership.Actions {
@@ -205,6 +223,9 @@
 			return membership.Actions{}
 		}
 		r.logger.Debug("stream-closed", zap.Uint64("stream", uint64(id)), zap.Error(err))
+		if errors.Is(err, io.EOF) && r.onReleased != nil {
+			return r.onReleased(now, id)
+		}
 		return r.onClosed(now, id)
 	})
 }
@@ -299,8 +320,7 @@
 	r.mu.Lock()
 	r.leaving = true
 	for _, s := range r.streams {
-		s.closed = true
-		close(s.outbox)
+		s.finish()
 	}
 	r.mu.Unlock()
 	deadline := time.NewTimer(farewellTimeout)
