control: Forget retired data centres everywhere, measure at the target

Cause: a benchmark for the budget of a node was missing, and no test covered the hour after which an unreachable data centre is removed. Watchers now send the IDs to remove. - a seed whose address differs from the announced control address was opened again at each tick: TestSeedAlias, "got len 1, want len 0" streams to open.

--- a/internal/control/membership/balancer.go
+++ b/internal/control/membership/balancer.go
@@ -32,6 +32,9 @@
 
 	seeds      []netip.AddrPort
 	seedsKnown bool
+	// aliases are seeds that differ from the control address that the balancer
+	// behind them announces.
+	aliases    map[netip.AddrPort]netip.AddrPort
 	seedsAsked clock.Millis
 	marked     bool
 	complete   bool
@@ -50,6 +53,7 @@
 		links: map[StreamID]*link{}, linkBackoff: newBackoff(),
 		sessions: map[StreamID]*session{}, watched: map[identity.OwnerID]*watch{},
 		refuted: map[identity.OwnerID]*refutation{},
+		aliases: map[netip.AddrPort]netip.AddrPort{},
 		ticked:  now, seedsAsked: now - seedsInterval,
 	}
 	b.announcer = newAnnouncer(b.NextStream)
@@ -231,7 +235,7 @@
 		delete(b.watched, id)
 		if !r.State().Gone() {
 			b.emit(r.withState(StateDead))
-			b.notifySessions(r.withState(StateDead))
+			b.notifySessions(r)
 		}
 	}
 }
--- a/internal/control/membership/link.go
+++ b/internal/control/membership/link.go
@@ -127,8 +127,8 @@
 
 func (b *Balancer) linkTo(address netip.AddrPort) *link {
 	for _, stream := range sortedStreams(b.links) {
-		if b.links[stream].address == address {
-			return b.links[stream]
+		if l := b.links[stream]; l.address == address || l.address == b.aliases[address] {
+			return l
 		}
 	}
 	return nil
@@ -147,8 +147,7 @@
 	}
 	unknown := 0
 	for _, address := range b.seeds {
-		_, known := b.view.addresses[address]
-		if !known && unknown < NeighbourCount && address != b.self.Control() && b.linkBackoff.ready(now, address) {
+		if !b.knows(address) && unknown < NeighbourCount && address != b.self.Control() && b.linkBackoff.ready(now, address) {
 			targets = append(targets, address)
 			unknown++
 		}
@@ -156,6 +155,15 @@
 	return targets
 }
 
+// knows reports whether a known balancer serves at address.
+func (b *Balancer) knows(address netip.AddrPort) bool {
+	if control, ok := b.aliases[address]; ok {
+		address = control
+	}
+	_, ok := b.view.addresses[address]
+	return ok
+}
+
 func (b *Balancer) connectable(now clock.Millis, records []Record) []netip.AddrPort {
 	addresses := make([]netip.AddrPort, 0, len(records)+NeighbourCount)
 	for _, r := range records {
@@ -174,6 +182,9 @@
 		b.closeLink(now, l.stream, true)
 		return
 	}
+	if l.outgoing && l.address != r.Control() {
+		b.aliases[l.address] = r.Control()
+	}
 	l.greeted, l.peer, l.address = true, r.ID(), r.Control()
 	l.digestDue = l.outgoing
 	b.linkBackoff.succeeded(l.address)
--- /dev/null
+++ b/internal/control/membership/scale_test.go
@@ -0,0 +1,235 @@
+package membership_test
+
+import (
+	"fmt"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/common/identity"
+	"github.com/orioledyke/orioledyke/internal/control/membership"
+	"github.com/orioledyke/orioledyke/internal/wire/controlpb"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	// messageOverhead is what one message adds on the wire: 5 bytes of gRPC, 9 of
+	// HTTP/2, 22 of TLS and 52 of TCP and IP with timestamps.
+	messageOverhead    = 88
+	scaleDataCentres   = 11
+	sidecarsOfBalancer = 9.4
+	// membersOfService gives 40 services at the target.
+	membersOfService = 118
+	// changesPerDay are 690 members that are restarted or replaced, each with 20
+	// versions (states, and 15 steps of the weight), at 500 balancers.
+	changesPerDay = 690 * 20
+	contractsADay = 1700
+	documentSize  = 2000
+	secondsOfDay  = 24 * 60 * 60
+)
+
+// scaleNode is one balancer with everything around it replaced by recorded
+// answers: 8 neighbours, its share of announced members, and 2 watchers.
+type scaleNode struct {
+	machine  *membership.Balancer
+	now      clock.Millis
+	counter  uint64
+	members  []membership.RecordConfig
+	sessions map[membership.StreamID]membership.RecordConfig
+	links    []membership.StreamID
+	watchers map[membership.StreamID]bool
+	versions map[identity.OwnerID]uint64
+	bytes    int
+	messages int
+	beats    int
+	spent    time.Duration
+	changes  float64
+	revision uint64
+	digest   map[membership.StreamID]*controlpb.Digest
+}
+
+func scaleMember(i, balancers int) membership.RecordConfig {
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 12), byte(i >> 4), byte(i)}), uint16(10000+i))
+	m := membership.RecordConfig{
+		// A multiplication by an odd number spreads the IDs.
+		ID: identity.OwnerID(uint64(i+1) * 0x9e3779b97f4a7c15 >> 16), Version: 20, Role: membership.RoleSidecar, State: membership.StateServing,
+		DataCentre: fmt.Sprintf("region-%d-%d", i%3, i%scaleDataCentres), Host: fmt.Sprint("host-", i),
+		Tunnel: address, Customer: "ferncliff-willow", Service: fmt.Sprint("service-", i/membersOfService), Weight: membership.MaxWeight,
+	}
+	if i < balancers {
+		m.Role, m.Control, m.Customer, m.Service = membership.RoleBalancer, address, "", ""
+	}
+	return m
+}
+
+func newScaleNode(balancers int) *scaleNode {
+	n := &scaleNode{
+		sessions: map[membership.StreamID]membership.RecordConfig{}, watchers: map[membership.StreamID]bool{},
+		versions: map[identity.OwnerID]uint64{}, digest: map[membership.StreamID]*controlpb.Digest{}, now: 1,
+	}
+	total := balancers + int(float64(balancers)*sidecarsOfBalancer)
+	for i := range total {
+		n.members = append(n.members, scaleMember(i, balancers))
+	}
+	n.machine = membership.NewBalancer(n.now, membership.NewRecord(n.members[0]))
+	n.apply(n.machine.Seeds(n.now, []netip.AddrPort{n.members[1].Control}))
+	for i := 2; len(n.links) < 5; i++ {
+		stream := n.machine.NextStream()
+		n.links = append(n.links, stream)
+		n.apply(n.machine.Accepted(n.now, stream))
+		n.greet(stream, n.members[i])
+	}
+	for _, m := range n.members[1:] {
+		n.receive(n.links[0], &controlpb.SyncMessage{Ready: true, Members: []*controlpb.Member{membership.NewRecord(m).Member()}})
+	}
+	n.receive(n.links[0], &controlpb.SyncMessage{Ready: true, Complete: true})
+	n.apply(n.machine.Tick(n.now))
+	byID := map[identity.OwnerID]membership.RecordConfig{}
+	for _, m := range n.members {
+		byID[m.ID] = m
+	}
+	for _, id := range n.machine.Watched() {
+		n.sessions[n.machine.NextStream()] = byID[id]
+	}
+	return n
+}
+
+func (n *scaleNode) greet(stream membership.StreamID, m membership.RecordConfig) {
+	n.receive(stream, &controlpb.SyncMessage{Self: membership.NewRecord(m).Member(), Ready: true})
+}
+
+func (n *scaleNode) receive(stream membership.StreamID, m *controlpb.SyncMessage) {
+	n.apply(n.machine.Receive(n.now, stream, m))
+}
+
+func (n *scaleNode) count(m proto.Message) {
+	n.bytes += proto.Size(m) + messageOverhead
+	n.messages++
+}
+
+func (n *scaleNode) apply(a membership.Actions) {
+	for _, o := range a.OpenSync {
+		for _, m := range n.members {
+			if m.Control == o.Address {
+				n.links = append(n.links, o.Stream)
+				n.greet(o.Stream, m)
+			}
+		}
+	}
+	for _, o := range a.OpenAnnounce {
+		n.watchers[o.Stream] = true
+	}
+	for _, s := range a.Sync {
+		n.count(s.Message)
+		if d := s.Message.GetDigest(); d != nil {
+			// The neighbour holds the same, so it has nothing to add.
+			n.digest[s.Stream] = d
+			n.receive(s.Stream, &controlpb.SyncMessage{Ready: true, Answer: &controlpb.Answer{}})
+		}
+	}
+	for _, s := range a.Announce {
+		n.count(s.Message)
+		n.apply(n.machine.Answered(n.now, s.Stream, &controlpb.AnnounceResponse{Version: n.machine.Self().Version()}))
+	}
+}
+
+// second lets one second of an ordinary day pass.
+func (n *scaleNode) second(balancers int) {
+	start := time.Now()
+	n.counter++
+	for range clock.Second / membership.TickInterval {
+		n.now += membership.TickInterval
+		n.apply(n.machine.Tick(n.now))
+	}
+	for i, stream := range n.links {
+		m := &controlpb.SyncMessage{Ready: true}
+		for j := range scaleDataCentres {
+			m.Heartbeats = append(m.Heartbeats, &controlpb.DataCentreHeartbeat{DataCentre: fmt.Sprintf("region-%d-%d", j%3, j), Counter: n.counter})
+		}
+		if own := n.digest[n.links[len(n.links)-1]]; own != nil && n.counter%10 == uint64(i) {
+			m.Digest = own
+		}
+		n.receive(stream, m)
+	}
+	scale := float64(balancers) / 500
+	n.changes += changesPerDay * scale / secondsOfDay
+	for ; n.changes >= 1; n.changes-- {
+		m := &n.members[balancers+int(n.counter)%(len(n.members)-balancers)]
+		m.Version++
+		n.receive(n.links[int(n.counter)%len(n.links)], &controlpb.SyncMessage{Ready: true, Members: []*controlpb.Member{membership.NewRecord(*m).Member()}})
+	}
+	if n.counter%(secondsOfDay/contractsADay) == 0 {
+		n.revision++
+		c := &controlpb.Contract{Customer: fmt.Sprint("customer-", n.revision%50), Revision: n.revision, Document: make([]byte, documentSize)}
+		n.receive(n.links[int(n.counter)%len(n.links)], &controlpb.SyncMessage{Ready: true, Contracts: []*controlpb.Contract{c}})
+	}
+	n.spent += time.Since(start)
+	n.heartbeats()
+}
+
+func (n *scaleNode) heartbeats() {
+	for stream, m := range n.sessions {
+		request := &controlpb.AnnounceRequest{Member: &controlpb.Member{Id: uint64(m.ID), Version: m.Version}}
+		if n.versions[m.ID] < m.Version {
+			request.Member = membership.NewRecord(m).Member()
+		}
+		start := time.Now()
+		response, actions, err := n.machine.Announce(n.now, stream, request)
+		n.spent += time.Since(start)
+		if err != nil {
+			panic(err)
+		}
+		n.beats++
+		n.versions[m.ID] = response.GetVersion()
+		n.count(response)
+		n.apply(actions)
+	}
+}
+
+// BenchmarkScale measures one balancer in steady state. One operation is one
+// second of an ordinary day; the time includes the fake neighbours but not gRPC.
+func BenchmarkScale(b *testing.B) {
+	for _, balancers := range []int{50, 150, 300, 500} {
+		b.Run(fmt.Sprint("balancers=", balancers), func(b *testing.B) {
+			before := heldHeap()
+			n := newScaleNode(balancers)
+			for range 120 {
+				n.second(balancers)
+			}
+			held := heldHeap() - before
+			n.bytes, n.messages, n.beats, n.spent = 0, 0, 0, 0
+			var seconds float64
+			for b.Loop() {
+				n.second(balancers)
+				seconds++
+			}
+			b.ReportMetric(float64(n.bytes)/seconds, "bytes/s")
+			b.ReportMetric(float64(n.messages)/seconds, "messages/s")
+			b.ReportMetric(float64(n.spent.Nanoseconds())/seconds, "ns/s")
+			b.ReportMetric(float64(held)/float64(n.machine.Table().Len()), "B/member")
+			b.ReportMetric(float64(n.machine.Table().Len()), "members")
+			b.ReportMetric(float64(len(n.sessions)), "watched")
+			measureHeartbeat(b, n)
+		})
+	}
+}
+
+// measureHeartbeat reports the time of a heartbeat that changes nothing.
+func measureHeartbeat(b *testing.B, n *scaleNode) {
+	const repetitions = 1000
+	before := n.beats
+	start := time.Now()
+	for range repetitions {
+		n.heartbeats()
+	}
+	b.ReportMetric(float64(time.Since(start).Nanoseconds())/float64(n.beats-before), "ns/heartbeat")
+}
+
+func heldHeap() int64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
--- a/internal/control/membership/session.go
+++ b/internal/control/membership/session.go
@@ -22,8 +22,8 @@
 	customer string
 	heard    clock.Millis
 	members  queue[identity.OwnerID]
-	// ended are records that the table does not hold any more.
-	ended    []Record
+	// removed are members whose records the table does not hold any more.
+	removed  []uint64
 	contract bool
 	// balancers is the list that was sent last.
 	balancers      []netip.AddrPort
@@ -90,10 +90,7 @@
 			m.Contracts = append(m.Contracts, c.message())
 		}
 	}
-	for _, r := range s.ended {
-		m.Members = append(m.Members, r.Member())
-	}
-	s.ended = nil
+	m.Removed, s.removed = s.removed, nil
 	for len(m.Members) < answerLimit {
 		id, ok := s.members.pop()
 		if !ok {
@@ -136,7 +133,7 @@
 		case held:
 			s.members.add(r.ID())
 		default:
-			s.ended = append(s.ended, r)
+			s.removed = append(s.removed, uint64(r.ID()))
 		}
 	}
 }
--- a/internal/control/membership/sidecar.go
+++ b/internal/control/membership/sidecar.go
@@ -128,6 +128,11 @@
 	if from == nil {
 		return out
 	}
+	for _, id := range m.GetRemoved() {
+		delete(s.siblings, identity.OwnerID(id))
+		delete(s.gone, identity.OwnerID(id))
+		out.SiblingsChanged = true
+	}
 	for _, member := range m.GetMembers() {
 		if r, err := ParseMember(member); err == nil {
 			s.receiveMember(now, from, r, &out)
--- a/internal/control/membership/stateful_test.go
+++ b/internal/control/membership/stateful_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"net/netip"
 	"os"
 	"slices"
 	"strings"
@@ -12,6 +13,7 @@
 	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/internal/common/identity"
 	"github.com/orioledyke/orioledyke/internal/control/membership"
+	"github.com/orioledyke/orioledyke/internal/wire/controlpb"
 	"pgregory.net/rapid"
 )
 
@@ -261,3 +263,49 @@
 		c.Assert(p.balancer.Table().Len(), qt.Equals, len(n.places)-2)
 	}
 }
+
+// TestRetiredDataCentreReturns guards against records of a lost data centre that
+// stay or circulate forever, and against two sides of a long partition that
+// have forgotten each other.
+func TestRetiredDataCentreReturns(t *testing.T) {
+	c := qt.New(t)
+	n := newRunningNetwork(t, 1)
+	n.advance(quietTime)
+	n.partitioned["chilliwack"] = true
+	n.advance(membership.RetirementTimeout + clock.Minute)
+	for _, p := range n.running(membership.RoleBalancer) {
+		for _, q := range n.processes {
+			_, known := p.balancer.Table().Get(q.id)
+			// No balancer decides about yale, so its record stays.
+			if q.place.dataCentre != "yale" {
+				c.Assert(known, qt.Equals, !n.cut(p, q), qt.Commentf("%s in %s at %s", q.id, q.place.dataCentre, p.place.dataCentre))
+			}
+		}
+	}
+	n.heal()
+	// Readers ask for seeds every minute.
+	n.advance(clock.Minute)
+	c.Assert(n.differences(), qt.HasLen, 0)
+}
+
+// TestSeedAlias guards against a seed whose address differs from the one that
+// the balancer announces, to which a stream was opened again and again.
+func TestSeedAlias(t *testing.T) {
+	c := qt.New(t)
+	alias, control := netip.MustParseAddrPort("10.0.0.9:1"), netip.MustParseAddrPort("10.0.0.2:1")
+	self := membership.RecordConfig{ID: 1, Version: 1, Role: membership.RoleBalancer, State: membership.StateServing, DataCentre: "hope", Control: netip.MustParseAddrPort("10.0.0.1:1")}
+	other := self
+	other.ID, other.Control = 2, control
+	b := membership.NewBalancer(0, membership.NewRecord(self))
+	opened := b.Seeds(0, []netip.AddrPort{alias}).OpenSync
+	c.Assert(opened, qt.HasLen, 1)
+	b.Receive(1, opened[0].Stream, &controlpb.SyncMessage{Self: membership.NewRecord(other).Member()})
+	c.Assert(b.Tick(100).OpenSync, qt.HasLen, 0)
+	// The other side opened a stream too, and the balancer with the lower ID
+	// keeps its own.
+	incoming := b.NextStream()
+	b.Accepted(100, incoming)
+	b.Receive(101, incoming, &controlpb.SyncMessage{Self: membership.NewRecord(other).Member()})
+	actions := b.Tick(200)
+	c.Assert(actions.OpenSync, qt.HasLen, 0)
+}
