control: Test that a silent connection is replaced

Cause: the runtime's part in finding silent connections had no test. Change: a loopback test with a relay that falls silent without closing. Conclusion: a sidecar connects again and receives the next contract.

--- a/internal/control/peer/peer_test.go
+++ b/internal/control/peer/peer_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -52,11 +53,22 @@
 	return func(context.Context) ([]netip.AddrPort, error) { return addresses, nil }
 }
 
-func startBalancer(c *qt.C, id identity.OwnerID, store *keyring.Store, known ...netip.AddrPort) *balancerNode {
+func listen(c *qt.C) (net.Listener, netip.AddrPort) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
+	return listener, listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func startBalancer(c *qt.C, id identity.OwnerID, store *keyring.Store, known ...netip.AddrPort) *balancerNode {
+	listener, address := listen(c)
+	return startBalancerOn(c, id, store, listener, address, known...)
+}
+
+// startBalancerOn starts a balancer that announces another address than the
+// listener's.
+func startBalancerOn(c *qt.C, id identity.OwnerID, store *keyring.Store, listener net.Listener, address netip.AddrPort, known ...netip.AddrPort) *balancerNode {
 	n := &balancerNode{
-		address:   listener.Addr().(*net.TCPAddr).AddrPort(),
+		address:   address,
 		contracts: make(chan contractEvent, eventBuffer),
 		members:   make(chan []membership.Record, eventBuffer),
 		removed:   make(chan identity.OwnerID, eventBuffer),
@@ -64,6 +76,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	n.stop = stop
+	var err error
 	n.Balancer, err = peer.NewBalancer(ctx, peer.BalancerConfig{
 		Self: membership.RecordConfig{
 			ID: id, DataCentre: "agassiz", Host: "host", Control: n.address, State: membership.StateServing,
@@ -98,7 +111,7 @@
 			ID: id, DataCentre: "agassiz", Tunnel: netip.MustParseAddrPort("127.0.0.1:4000"),
 			Customer: "ferncliff-willow", Service: "bundle-desk",
 		},
-		Keys: store, Clock: clock.System(), Seeds: seeds(known...),
+		Keys: store, Clock: fastClock(), Seeds: seeds(known...),
 		OnSiblings: func(siblings []membership.Record) { n.siblings <- siblings },
 		OnContract: func(customer string, revision uint64, document []byte) {
 			n.contracts <- contractEvent{customer, revision, string(document)}
@@ -112,6 +125,13 @@
 	return n
 }
 
+// fastClock runs at 4 times the speed, so that no test waits long for the
+// silence timeout. A tick still takes less than the pause threshold.
+func fastClock() clock.Clock {
+	system := clock.System()
+	return clock.New(func() clock.Millis { return 4 * system.Now() })
+}
+
 // until receives events until one satisfies the condition.
 func until[T any](events <-chan T, satisfied func(T) bool) {
 	for event := range events {
@@ -167,3 +187,73 @@
 	_, err = peer.Status(context.Background(), keys(c, 2), node.address)
 	c.Assert(err, qt.ErrorMatches, ".*certificate signed by unknown authority.*")
 }
+
+// relay passes connections on to target until silence is set; then it keeps them
+// open but passes nothing on.
+type relay struct {
+	silence  atomic.Bool
+	accepted chan struct{}
+}
+
+func startRelay(c *qt.C, listener net.Listener, target netip.AddrPort) *relay {
+	r := &relay{accepted: make(chan struct{}, eventBuffer)}
+	c.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			from, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			r.accepted <- struct{}{}
+			to, err := net.Dial("tcp", target.String())
+			if err != nil {
+				from.Close()
+				continue
+			}
+			// Silence lasts for the connection, not for those opened later.
+			silent := &atomic.Bool{}
+			go r.copy(to, from, silent)
+			go r.copy(from, to, silent)
+		}
+	}()
+	return r
+}
+
+func (r *relay) copy(to, from net.Conn, silent *atomic.Bool) {
+	defer to.Close()
+	buffer := make([]byte, 64<<10)
+	for {
+		count, err := from.Read(buffer)
+		if err != nil {
+			return
+		}
+		if r.silence.CompareAndSwap(true, false) {
+			silent.Store(true)
+		}
+		if silent.Load() {
+			continue
+		}
+		if _, err := to.Write(buffer[:count]); err != nil {
+			return
+		}
+	}
+}
+
+// TestSilentConnectionIsReplaced guards against a sidecar that waits forever on
+// a connection that stays open but carries nothing.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	c := qt.New(t)
+	store := keys(c, 1)
+	front, announced := listen(c)
+	back, target := listen(c)
+	relay := startRelay(c, front, target)
+	node := startBalancerOn(c, 1, store, back, announced)
+	node.PublishContract("ferncliff-willow", 1, []byte("{}"))
+	sidecar := startSidecar(c, 101, store, announced)
+	c.Assert(<-sidecar.contracts, qt.Equals, contractEvent{"ferncliff-willow", 1, "{}"})
+	<-relay.accepted
+	relay.silence.Store(true)
+	<-relay.accepted
+	node.PublishContract("ferncliff-willow", 2, []byte("{}"))
+	until(sidecar.contracts, func(e contractEvent) bool { return e.revision == 2 })
+}
