--- a/internal/control/membership/link.go
+++ b/internal/control/membership/link.go
@@ -84,7 +84,10 @@
 
 func (b *Balancer) checkLinks(now clock.Millis) {
 	for _, stream := range sortedStreams(b.links) {
-		if now >= b.links[stream].heard+SilenceTimeout {
+		l := b.links[stream]
+		// A neighbour whose first message was lost would stay nameless.
+		nameless := !l.greeted && now >= l.opened+SilenceTimeout
+		if nameless || now >= l.heard+SilenceTimeout {
 			b.out.Close = append(b.out.Close, stream)
 			b.closeLink(now, stream, true)
 		}
@@ -124,8 +127,8 @@
 
 func (b *Balancer) linkTo(address netip.AddrPort) *link {
 	for _, stream := range sortedStreams(b.links) {
-		if b.links[stream].address == address {
-			return b.links[stream]
+		if l := b.links[stream]; l.address == address || l.address == b.aliases[address] {
+			return l
 		}
 	}
 	return nil
@@ -144,8 +147,7 @@
 	}
 	unknown := 0
 	for _, address := range b.seeds {
-		_, known := b.view.addresses[address]
-		if !known && unknown < NeighbourCount && address != b.self.Control() && b.linkBackoff.ready(now, address) {
+		if !b.knows(address) && unknown < NeighbourCount && address != b.self.Control() && b.linkBackoff.ready(now, address) {
 			targets = append(targets, address)
 			unknown++
 		}
@@ -153,6 +155,15 @@
 	return targets
 }
 
+// knows reports whether a known balancer serves at address.
+func (b *Balancer) knows(address netip.AddrPort) bool {
+	if control, ok := b.aliases[address]; ok {
+		address = control
+	}
+	_, ok := b.view.addresses[address]
+	return ok
+}
+
 func (b *Balancer) connectable(now clock.Millis, records []Record) []netip.AddrPort {
 	addresses := make([]netip.AddrPort, 0, len(records)+NeighbourCount)
 	for _, r := range records {
@@ -171,6 +182,9 @@
 		b.closeLink(now, l.stream, true)
 		return
 	}
+	if l.outgoing && l.address != r.Control() {
+		b.aliases[l.address] = r.Control()
+	}
 	l.greeted, l.peer, l.address = true, r.ID(), r.Control()
 	l.digestDue = l.outgoing
 	b.linkBackoff.succeeded(l.address)
