sibling: Test schedule, partners and load messages

Cause: load messages must stay within the control budget and reach both sides. Change: tests of the schedule, of the symmetry of partners, of the choice of a free sibling, and a fuzz test of load messages. Conclusion: at most 4 partners, who choose each other.

--- /dev/null
+++ b/internal/sidecar/sibling/exchange_test.go
@@ -0,0 +1,103 @@
+package sibling_test
+
+import (
+	"bytes"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/common/identity"
+	"github.com/orioledyke/orioledyke/internal/sidecar/sibling"
+)
+
+func ring(count int) []sibling.Sibling {
+	var all []sibling.Sibling
+	for i := range count {
+		all = append(all, sibling.Sibling{Owner: identity.OwnerID(i + 1)})
+	}
+	return all
+}
+
+// TestSchedule guards against load messages above the control budget and against
+// siblings that hear nothing for more than a second.
+func TestSchedule(t *testing.T) {
+	c := qt.New(t)
+	var sent []clock.Millis
+	now := clock.Millis(0)
+	e := sibling.NewExchange(sibling.ExchangeConfig{Self: 9, Send: func(sibling.Sibling, []byte) { sent = append(sent, now) }})
+	e.SetSiblings(ring(1))
+	for ; now <= 4000; now += 20 {
+		load := sibling.Load{Slots: 3}
+		if now >= 2000 && now < 2500 {
+			load.InUse = int(now)
+		}
+		e.Tick(load, now)
+	}
+	c.Assert(sent, qt.DeepEquals, []clock.Millis{0, 1000, 2000, 2200, 2400, 2600, 3600})
+}
+
+// TestPartners guards against more than 4 partners and against partners that do
+// not choose each other, which would leave a sidecar without loads.
+func TestPartners(t *testing.T) {
+	c := qt.New(t)
+	all := ring(13)
+	chosen := map[[2]identity.OwnerID]bool{}
+	for _, self := range all {
+		count := 0
+		e := sibling.NewExchange(sibling.ExchangeConfig{Self: self.Owner, Send: func(to sibling.Sibling, _ []byte) {
+			count++
+			chosen[[2]identity.OwnerID{self.Owner, to.Owner}] = true
+		}})
+		var others []sibling.Sibling
+		for _, s := range all {
+			if s != self {
+				others = append(others, s)
+			}
+		}
+		e.SetSiblings(others)
+		e.Tick(sibling.Load{}, 0)
+		c.Assert(count, qt.Equals, 4)
+	}
+	for pair := range chosen {
+		c.Assert(chosen[[2]identity.OwnerID{pair[1], pair[0]}], qt.IsTrue, qt.Commentf("%v", pair))
+	}
+}
+
+// TestFree guards against hand-offs to siblings that are full, leaving, silent or
+// unknown, and against a burst that takes the same free slot several times.
+func TestFree(t *testing.T) {
+	c := qt.New(t)
+	e := sibling.NewExchange(sibling.ExchangeConfig{Self: 9})
+	e.SetSiblings(ring(3))
+	e.Receive(1, sibling.Load{Slots: 3, InUse: 2}.Encode(), 0)
+	e.Receive(2, sibling.Load{Slots: 3, Leaving: true}.Encode(), 0)
+	e.Receive(3, sibling.Load{Slots: 3, InUse: 1, Queued: 2}.Encode(), 0)
+	e.Receive(4, sibling.Load{Slots: 3}.Encode(), 0)
+	e.Receive(3, []byte("not a load message"), 0)
+	s, ok := e.Free(0)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(s.Owner, qt.Equals, identity.OwnerID(1))
+	e.Lend(1)
+	_, ok = e.Free(0)
+	c.Assert(ok, qt.IsFalse)
+	e.Receive(1, sibling.Load{Slots: 3}.Encode(), 100)
+	_, ok = e.Free(100)
+	c.Assert(ok, qt.IsTrue)
+	_, ok = e.Free(3600)
+	c.Assert(ok, qt.IsFalse)
+	c.Assert(e.Loads(3600), qt.HasLen, 0)
+}
+
+// FuzzParseLoad guards against messages that are misread or change when they are
+// encoded again.
+func FuzzParseLoad(f *testing.F) {
+	f.Add(sibling.Load{Leaving: true, Flows: 1 << 20, InUse: 3, Slots: 3, Queued: 77}.Encode())
+	f.Add(sibling.Load{Flows: -1, InUse: 1 << 20}.Encode())
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, message []byte) {
+		load, err := sibling.ParseLoad(message)
+		if err == nil && !bytes.Equal(load.Encode(), message) {
+			t.Fatalf("%x is read as %+v", message, load)
+		}
+	})
+}
