upstream: Judge slowness by time and stalled calls together

Cause: the usual response time followed the present one too fast, and a stalled call protected others. Change: the usual response time follows within a minute whatever the rate; all stalled calls of a tick are found before any is recorded. Faults found: TestWeight failed with a weight of 13 or more after 40 responses 4 times slower than usual.

--- a/internal/sidecar/upstream/client.go
+++ b/internal/sidecar/upstream/client.go
@@ -275,20 +275,22 @@
 func (c *Client) cancelStalled() {
 	now := c.config.Clock.Now()
 	c.mutex.Lock()
-	stalled := 0
+	var stalled []*call
 	for p := range c.calls {
 		limit := max(stallTimeout, stallFactor*c.health.Usual(p.kind))
-		if !p.limited || p.conn == nil || now-p.started < limit {
-			continue
+		if p.limited && p.conn != nil && now-p.started >= limit {
+			stalled = append(stalled, p)
 		}
-		stalled++
+	}
+	for _, p := range stalled {
 		p.cancel(errStalled)
-		// A kind that is slow by nature becomes known as slow.
-		c.health.recordTime(p.kind, float64(now-p.started))
+		// A kind that is slow by nature becomes known as slow. This must not raise
+		// the limit for calls that stalled at the same time.
+		c.health.recordTime(p.kind, float64(now-p.started), now)
 		delete(c.calls, p)
 	}
 	c.mutex.Unlock()
-	if stalled > 0 {
+	if len(stalled) > 0 {
 		// Connections that are idle may have fallen silent at the same time.
 		c.transport.CloseIdleConnections()
 	}
--- a/internal/sidecar/upstream/health.go
+++ b/internal/sidecar/upstream/health.go
@@ -19,10 +19,15 @@
 	failureHalfLife = 2 * clock.Second
 	// failureWeight is the weight of one failure in the failure level.
 	failureWeight = 1.0 / 8
-	// baselineWeight and currentWeight are those of a new response time in the
-	// usual and in the present one.
-	baselineWeight = 1.0 / 128
-	currentWeight  = 1.0 / 8
+	// currentWeight is the weight of a new response time in the present one.
+	currentWeight = 1.0 / 8
+	// baselineTime is the time in which the usual response time follows the
+	// present one. It does not depend on the rate, because a slow upstream at a
+	// high rate would become the usual one within a second.
+	baselineTime = clock.Minute
+	// baselineSamples is the number of first responses whose average is the usual
+	// response time.
+	baselineSamples = 32
 	// toleratedSlowdown is how many times slower than usual responses may be
 	// without effect on the weight.
 	toleratedSlowdown = 2.0
@@ -56,14 +61,21 @@
 	failures  float64
 	updated   clock.Millis
 	slowdown  float64
-	baselines map[string]float64
+	baselines map[string]*baseline
 	failing   bool
 	draining  bool
 }
 
+// baseline is the usual response time of a kind in milliseconds.
+type baseline struct {
+	value   float64
+	samples int
+	updated clock.Millis
+}
+
 // NewHealth returns the Health of an upstream that starts now.
 func NewHealth(now clock.Millis) *Health {
-	return &Health{started: now, updated: now, slowdown: 1, baselines: map[string]float64{}}
+	return &Health{started: now, updated: now, slowdown: 1, baselines: map[string]*baseline{}}
 }
 
 // Record adds the result of one request. The elapsed time until the response
@@ -72,7 +84,7 @@
 	h.decay(now)
 	switch result {
 	case Answered:
-		h.recordTime(kind, float64(max(elapsed, 1)))
+		h.recordTime(kind, float64(max(elapsed, 1)), now)
 		h.failures -= h.failures * failureWeight
 	case Shed, Failed:
 		h.failures += (1 - h.failures) * failureWeight
@@ -92,14 +104,20 @@
 	}
 }
 
-func (h *Health) recordTime(kind string, elapsed float64) {
-	baseline, ok := h.baselines[kind]
-	if !ok {
-		h.baselines[kind] = elapsed
-		return
+func (h *Health) recordTime(kind string, elapsed float64, now clock.Millis) {
+	b := h.baselines[kind]
+	if b == nil {
+		b = &baseline{value: elapsed}
+		h.baselines[kind] = b
 	}
-	h.slowdown += (min(elapsed/baseline, maxSlowdown) - h.slowdown) * currentWeight
-	h.baselines[kind] += (elapsed - baseline) * baselineWeight
+	h.slowdown += (min(elapsed/b.value, maxSlowdown) - h.slowdown) * currentWeight
+	weight := min(float64(now-b.updated)/float64(baselineTime), currentWeight)
+	if b.samples < baselineSamples {
+		b.samples++
+		weight = max(weight, 1/float64(b.samples))
+	}
+	b.value += (elapsed - b.value) * weight
+	b.updated = now
 }
 
 // Report records an answer of the upstream's own health endpoint, which can only
@@ -112,7 +130,10 @@
 
 // Usual returns the usual response time of a kind, or zero if it is not known.
 func (h *Health) Usual(kind string) clock.Millis {
-	return clock.Millis(h.baselines[kind])
+	if b := h.baselines[kind]; b != nil {
+		return clock.Millis(b.value)
+	}
+	return 0
 }
 
 // Weight returns the weight from MinWeight to MaxWeight.
