request: Bound held bodies and trust the sender of a hand-off

Cause: bodies that are held for tickets and retries had no common limit; a sibling with another revision of the contract could answer 404 or retry by its own rules. Ruled out: the contract's revision in the hand-off, because the sender decides everything that depends on it. Faults found: none by tests; these were found by reading.

--- a/internal/sidecar/request/exchange.go
+++ b/internal/sidecar/request/exchange.go
@@ -29,6 +29,8 @@
 	deadline clock.Millis
 	span     trace.Span
 	outcome  string
+	// held is the size of the request body in memory.
+	held int64
 
 	// ctx ends at the deadline with upstream.ErrDeadline.
 	ctx    context.Context
@@ -68,6 +70,7 @@
 func (e *exchange) end() {
 	e.unlimit()
 	e.cancel(nil)
+	e.handler.memory.free(e.held)
 	elapsed := e.handler.config.Clock.Now() - e.started
 	e.handler.metrics.requests.WithLabelValues(e.kind.Name(), e.outcome).Inc()
 	e.handler.metrics.duration.WithLabelValues(e.kind.Name()).Observe(elapsed.Duration().Seconds())
@@ -80,7 +83,7 @@
 
 // serve answers a request that needs no ticket.
 func (e *exchange) serve() {
-	body, err := openSource(e.ctx, e.w, e.r)
+	body, err := e.openSource()
 	if err != nil {
 		e.rejectBody(err)
 		return
@@ -123,7 +126,10 @@
 	switch {
 	case errors.Is(err, errBodyTooLarge):
 		p.Status = http.StatusRequestEntityTooLarge
-		p.Detail = "The body of a request that may not be repeated is limited to 1 MiB."
+		p.Detail = "The body of a request that may not be repeated is limited to 256 KiB."
+	case errors.Is(err, errNoMemory):
+		e.outcome = outcomeNotRun
+		p = notRun("Too many requests are waiting.", 0)
 	case errors.Is(err, upstream.ErrDeadline):
 		p.Status = http.StatusRequestTimeout
 		p.Detail = "The body did not arrive before the deadline."
--- a/internal/sidecar/request/execute.go
+++ b/internal/sidecar/request/execute.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 
 	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/internal/sidecar/admission"
@@ -64,7 +63,9 @@
 }
 
 func (e *exchange) mayRetry(f *failure, body *source) bool {
-	if e.ctx.Err() != nil || !body.replayable() {
+	// The sidecar that handed a request off decides about its retries: it knows the
+	// revision of the contract under which the client was admitted.
+	if e.origin.Hop == sibling.HandedOff || e.ctx.Err() != nil || !body.replayable() {
 		return false
 	}
 	if f.mayHaveRun && ticketed(e.kind) {
@@ -138,10 +139,6 @@
 func (e *exchange) call(body *source, id admission.ID) (*result, *failure) {
 	h := e.handler
 	ctx, span := tracer().Start(e.ctx, "upstream call", trace.WithSpanKind(trace.SpanKindClient))
-	release := sync.OnceFunc(func() {
-		h.gate.release(id)
-		span.End()
-	})
 	timeout := max(e.deadline-h.config.Clock.Now(), 1)
 	if e.kind.Stream() {
 		timeout = 0
@@ -153,14 +150,16 @@
 		Timeout:    timeout,
 	})
 	if err != nil {
+		h.gate.abandon(id)
 		span.SetStatus(codes.Error, err.Error())
-		release()
+		span.End()
 		return nil, upstreamFailure(err)
 	}
 	span.SetAttributes(attribute.Int("http.response.status_code", response.StatusCode))
 	return &result{response: response, release: func() {
 		_ = response.Body.Close()
-		release()
+		h.gate.complete(id)
+		span.End()
 	}}, nil
 }
 
--- a/internal/sidecar/request/gate.go
+++ b/internal/sidecar/request/gate.go
@@ -43,7 +43,7 @@
 }
 
 // acquire waits for the decision about a request: Start, HandOff or Refuse. After
-// Start the caller must release the ID. The error is the cause of the end of ctx.
+// Start the caller must complete or abandon the ID. The error is the cause of the end of ctx.
 func (g *gate) acquire(ctx context.Context, r admission.Request) (admission.Action, error) {
 	r.Random = g.random()
 	g.mutex.Lock()
@@ -62,19 +62,27 @@
 	case action = <-decided:
 		return action, nil
 	case <-ctx.Done():
-		g.release(r.ID)
+		g.abandon(r.ID)
 		return admission.Action{}, context.Cause(ctx)
 	}
 }
 
-// release frees the slot or the place in the queue of a request.
-func (g *gate) release(id admission.ID) {
+// complete frees the slot of a request whose work is done.
+func (g *gate) complete(id admission.ID) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	delete(g.waiting, id)
 	g.deliver(g.controller.Complete(id, g.clock.Now()))
 }
 
+// abandon frees the slot or the place in the queue of a request whose work did not
+// start or was cut short.
+func (g *gate) abandon(id admission.ID) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	delete(g.waiting, id)
+	g.deliver(g.controller.Abandon(id, g.clock.Now()))
+}
+
 func (g *gate) tick() {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
--- a/internal/sidecar/request/handler.go
+++ b/internal/sidecar/request/handler.go
@@ -34,6 +34,7 @@
 	tickets   *tickets
 	deadlines deadlines
 	budget    budget
+	memory    memory
 	metrics   *metrics
 
 	mutex   sync.Mutex
@@ -55,7 +56,7 @@
 	// Random returns a number in [0, 1). It is called by several goroutines.
 	Random   func() float64
 	Upstream *upstream.Client
-	// Siblings knows the loads of the siblings.
+	// Siblings knows the loads of the siblings. The Handler drives its Tick.
 	Siblings *sibling.Exchange
 	// Links passes requests to siblings.
 	Links *sibling.Client
@@ -89,6 +90,7 @@
 			case <-ticks:
 				h.deadlines.expire(config.Clock.Now())
 				h.gate.tick()
+				config.Siblings.Tick(h.Load(), config.Clock.Now())
 			case <-ctx.Done():
 				return
 			}
@@ -103,7 +105,7 @@
 	defer h.exit()
 	kind, ok := h.match(r)
 	if !ok {
-		writeProblem(w, problem{Status: http.StatusNotFound, Detail: "The service has no such work."})
+		rejectKind(w, r)
 		return
 	}
 	e := h.begin(w, r, kind)
@@ -115,6 +117,17 @@
 	e.serve()
 }
 
+// rejectKind refuses work that the contract does not list. A sibling can have
+// another revision of the contract, so it is told that the work was not run.
+func rejectKind(w http.ResponseWriter, r *http.Request) {
+	const detail = "The service has no such work."
+	if sibling.OriginOf(r.Context()).Hop == sibling.HandedOff {
+		writeProblem(w, notRun(detail, 0))
+		return
+	}
+	writeProblem(w, problem{Status: http.StatusNotFound, Detail: detail})
+}
+
 // ticketed reports whether a request needs a ticket. A stream is only read, so
 // that opening it twice does no harm.
 func ticketed(kind contract.Kind) bool {
--- a/internal/sidecar/request/tickets.go
+++ b/internal/sidecar/request/tickets.go
@@ -133,7 +133,7 @@
 
 // serveTicket answers a request whose ticket names this sidecar.
 func (e *exchange) serveTicket(token ticket.Ticket) {
-	body, err := readSource(e.ctx, e.w, e.r, maxTicketedBody)
+	body, err := e.readSource(maxTicketedBody)
 	if err != nil {
 		e.rejectBody(err)
 		return
