control: Drop what a lost watcher said about siblings

Cause: a watcher that declares a member dead and ends before any other balancer hears of it left a tombstone in its sidecars, and the member, which nobody else believes dead, never raises its version. Change: a sidecar keeps what each watcher says while its stream is open and merges these views. Ruled out: accepting an alive record of the same version over a tombstone from any watcher, because a lagging watcher would revive the dead.

--- a/internal/control/membership/announcer.go
+++ b/internal/control/membership/announcer.go
@@ -73,10 +73,7 @@
 	answered bool
 	beat     clock.Millis
 	// held is the version of the own record that the watcher holds.
-	held     uint64
-	complete bool
-	// seen holds the siblings sent until complete.
-	seen map[identity.OwnerID]struct{}
+	held uint64
 }
 
 func newAnnouncer(next func() StreamID) *announcer {
@@ -109,9 +106,7 @@
 			continue
 		}
 		id := a.next()
-		a.streams[id] = &announceStream{
-			address: address, heard: now, beat: now, seen: map[identity.OwnerID]struct{}{},
-		}
+		a.streams[id] = &announceStream{address: address, heard: now, beat: now}
 		out.OpenAnnounce = append(out.OpenAnnounce, Open{Stream: id, Address: address})
 	}
 }
@@ -168,11 +163,11 @@
 	}
 }
 
-// heard notes an answer on a stream; it returns nil for an unknown one.
-func (a *announcer) heard(now clock.Millis, id StreamID, version uint64) *announceStream {
+// heard notes an answer on a stream; it returns false for an unknown one.
+func (a *announcer) heard(now clock.Millis, id StreamID, version uint64) bool {
 	s, ok := a.streams[id]
 	if !ok {
-		return nil
+		return false
 	}
 	s.heard = now
 	s.answered = true
@@ -182,7 +177,7 @@
 	}
 	s.held = version
 	a.backoff.succeeded(s.address)
-	return s
+	return true
 }
 
 // closed forgets a stream that failed.
--- a/internal/control/membership/balancer.go
+++ b/internal/control/membership/balancer.go
@@ -134,7 +134,7 @@
 
 // Answered takes an answer from one of the balancer's own watchers.
 func (b *Balancer) Answered(now clock.Millis, stream StreamID, m *controlpb.AnnounceResponse) Actions {
-	if b.announcer.heard(now, stream, m.GetVersion()) == nil {
+	if !b.announcer.heard(now, stream, m.GetVersion()) {
 		return b.take()
 	}
 	for _, member := range m.GetMembers() {
--- a/internal/control/membership/sidecar.go
+++ b/internal/control/membership/sidecar.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"net/netip"
 	"slices"
 
@@ -20,9 +19,8 @@
 	announcer  *announcer
 	candidates []netip.AddrPort
 	seeds      []netip.AddrPort
-	// siblings includes tombstones; gone tells when their members ended.
-	siblings   map[identity.OwnerID]Record
-	gone       map[identity.OwnerID]clock.Millis
+	siblings   *siblings
+	expired    clock.Millis
 	contracts  *Contracts
 	complete   bool
 	ticked     clock.Millis
@@ -33,7 +31,7 @@
 // NewSidecar returns the state machine of the member self.
 func NewSidecar(now clock.Millis, self Record) *Sidecar {
 	s := &Sidecar{
-		self: self, siblings: map[identity.OwnerID]Record{}, gone: map[identity.OwnerID]clock.Millis{}, contracts: NewContracts(),
+		self: self, siblings: newSiblings(), contracts: NewContracts(),
 		ticked: now, seedsAsked: now - seedsInterval,
 	}
 	s.announcer = newAnnouncer(func() StreamID {
@@ -51,16 +49,7 @@
 
 // Siblings returns the other members of the service that have not ended, in
 // order of their IDs.
-func (s *Sidecar) Siblings() []Record {
-	siblings := make([]Record, 0, len(s.siblings))
-	for _, r := range s.siblings {
-		if !r.State().Gone() {
-			siblings = append(siblings, r)
-		}
-	}
-	slices.SortFunc(siblings, func(a, b Record) int { return cmp.Compare(a.ID(), b.ID()) })
-	return siblings
-}
+func (s *Sidecar) Siblings() []Record { return s.siblings.records() }
 
 // Contract returns the contract of the own customer.
 func (s *Sidecar) Contract() (Contract, bool) { return s.contracts.Get(s.self.Customer()) }
@@ -96,8 +85,12 @@
 	}
 	s.ticked = now
 	s.announcer.backoff.forget(now)
-	s.expire(now)
+	if now >= s.expired+clock.Minute {
+		s.expired = now
+		s.siblings.expire(now)
+	}
 	s.announcer.tick(now, s.self, slices.Concat(s.candidates, s.seeds), &out)
+	out.SiblingsChanged = s.siblings.keep(func(id StreamID) bool { return s.announcer.streams[id] != nil })
 	if !s.announcer.connected() && now >= s.seedsAsked+seedsInterval {
 		s.seedsAsked = now
 		out.WantSeeds = true
@@ -105,16 +98,6 @@
 	return out
 }
 
-// expire drops old tombstones.
-func (s *Sidecar) expire(now clock.Millis) {
-	for id, at := range s.gone {
-		if now >= at+TombstoneLifetime {
-			delete(s.gone, id)
-			delete(s.siblings, id)
-		}
-	}
-}
-
 // Closed tells that a stream failed.
 func (s *Sidecar) Closed(now clock.Millis, stream StreamID) Actions {
 	s.announcer.closed(now, stream, s.self)
@@ -124,18 +107,17 @@
 // Receive takes an answer from a watcher.
 func (s *Sidecar) Receive(now clock.Millis, stream StreamID, m *controlpb.AnnounceResponse) Actions {
 	var out Actions
-	from := s.announcer.heard(now, stream, m.GetVersion())
-	if from == nil {
+	if !s.announcer.heard(now, stream, m.GetVersion()) {
 		return out
 	}
 	for _, id := range m.GetRemoved() {
-		delete(s.siblings, identity.OwnerID(id))
-		delete(s.gone, identity.OwnerID(id))
-		out.SiblingsChanged = true
+		if s.siblings.remove(stream, identity.OwnerID(id)) {
+			out.SiblingsChanged = true
+		}
 	}
 	for _, member := range m.GetMembers() {
 		if r, err := ParseMember(member); err == nil {
-			s.receiveMember(now, from, r, &out)
+			s.receiveMember(now, stream, r, &out)
 		}
 	}
 	for _, c := range m.GetContracts() {
@@ -145,13 +127,14 @@
 		}
 	}
 	s.receiveBalancers(m.GetBalancers())
-	if m.GetComplete() && !from.complete {
-		s.completed(from, &out)
+	if m.GetComplete() {
+		s.complete = true
+		out.SiblingsChanged = s.siblings.completed(stream) || out.SiblingsChanged
 	}
 	return out
 }
 
-func (s *Sidecar) receiveMember(now clock.Millis, from *announceStream, r Record, out *Actions) {
+func (s *Sidecar) receiveMember(now clock.Millis, stream StreamID, r Record, out *Actions) {
 	if r.ID() == s.self.ID() {
 		if r.Beats(s.self) {
 			s.self = s.self.withVersion(r.Version() + 1)
@@ -162,15 +145,7 @@
 	if r.Role() != RoleSidecar || r.ServiceID() != s.self.ServiceID() {
 		return
 	}
-	if !from.complete {
-		from.seen[r.ID()] = struct{}{}
-	}
-	if old, ok := s.siblings[r.ID()]; !ok || r.Beats(old) {
-		s.siblings[r.ID()] = r
-		delete(s.gone, r.ID())
-		if r.State().Gone() {
-			s.gone[r.ID()] = now
-		}
+	if s.siblings.put(now, stream, r) {
 		out.SiblingsChanged = true
 	}
 }
@@ -186,26 +161,3 @@
 		}
 	}
 }
-
-// completed drops siblings that no complete watcher knows: the only stream may
-// have been down for longer than tombstones are kept.
-func (s *Sidecar) completed(from *announceStream, out *Actions) {
-	known := from.seen
-	alone := true
-	for _, other := range s.announcer.streams {
-		alone = alone && !other.complete
-	}
-	from.complete, from.seen = true, nil
-	s.complete = true
-	if !alone {
-		return
-	}
-	maps.DeleteFunc(s.siblings, func(id identity.OwnerID, _ Record) bool {
-		_, ok := known[id]
-		if !ok {
-			delete(s.gone, id)
-			out.SiblingsChanged = true
-		}
-		return !ok
-	})
-}
