--- a/internal/sidecar/sibling/exchange.go
+++ b/internal/sidecar/sibling/exchange.go
@@ -58,11 +58,12 @@
 	return &Exchange{config: config, loads: map[identity.OwnerID]received{}, sent: -maxInterval}
 }
 
-// SetSiblings replaces the siblings. Loads of those that are gone are dropped.
+// SetSiblings replaces the siblings; this sidecar itself is left out. Loads of
+// those that are gone are dropped.
 func (e *Exchange) SetSiblings(siblings []Sibling) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	e.siblings = slices.Clone(siblings)
+	e.siblings = slices.DeleteFunc(slices.Clone(siblings), func(s Sibling) bool { return s.Owner == e.config.Self })
 	for owner := range e.loads {
 		if !slices.ContainsFunc(siblings, func(s Sibling) bool { return s.Owner == owner }) {
 			delete(e.loads, owner)
