request: Restore the test of broken responses

Cause: the HTTP/3 test covers a broken stream, but not short work over HTTP/1.1, so its removal lost a case. Change: TestBrokenResponse is back as it was. Conclusion: both protocols and both kinds of response are covered.

--- a/internal/sidecar/request/handler_test.go
+++ b/internal/sidecar/request/handler_test.go
@@ -146,6 +146,19 @@
 	}
 }
 
+// TestBrokenResponse guards against an incomplete answer that looks complete.
+func TestBrokenResponse(t *testing.T) {
+	c := qt.New(t)
+	n := newNode(c, 1, testKeys(c))
+	first := async(func() reply { return n.get("/lists/1") })
+	(<-n.upstream.arrived).answer <- func(w http.ResponseWriter) {
+		_, _ = io.WriteString(w, "half")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	c.Assert((<-first).err, qt.Not(qt.IsNil))
+}
+
 // TestRetryBudget guards against retries above 10% of first attempts, and against
 // none for a request that may be repeated.
 func TestRetryBudget(t *testing.T) {
