--- a/internal/common/keyring/keyring.go
+++ b/internal/common/keyring/keyring.go
@@ -8,9 +8,12 @@
 	"crypto/hkdf"
 	"crypto/hmac"
 	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/base64"
 	"fmt"
 	"os"
+	"sync"
 	"sync/atomic"
 
 	"github.com/goccy/go-yaml"
@@ -44,6 +47,11 @@
 	tunnel       cipher.AEAD
 	ticket       []byte
 	authority    []byte
+	// authorityCertificate and certificate are made at the first handshake and
+	// kept, because an Ed25519 key pair and a signature for each handshake cost
+	// more than the handshake itself needs.
+	authorityCertificate func() (*x509.Certificate, error)
+	certificate          func() (*tls.Certificate, error)
 }
 
 type file struct {
@@ -99,6 +107,9 @@
 func New(active Generation, secrets map[Generation][]byte) (*Ring, error) {
 	ring := &Ring{active: active}
 	for number, secret := range secrets {
+		if number >= MaxGenerations || len(secret) != SecretSize {
+			return nil, fmt.Errorf("generation %d: want a number from 0 to %d and a secret of %d bytes", number, MaxGenerations-1, SecretSize)
+		}
 		keys, err := derive(number, secret)
 		if err != nil {
 			return nil, err
@@ -134,10 +145,13 @@
 	if err != nil {
 		return nil, oops.Wrap(err)
 	}
-	return &Keys{
+	keys := &Keys{
 		generation: number, connectionID: block, tunnel: aead,
 		ticket: derived["ticket"], authority: derived["authority"],
-	}, nil
+	}
+	keys.authorityCertificate = sync.OnceValues(keys.newAuthorityCertificate)
+	keys.certificate = sync.OnceValues(keys.newCertificate)
+	return keys, nil
 }
 
 // Active returns the keys of the active generation.
@@ -160,16 +174,20 @@
 		return false
 	}
 	for i, keys := range r.keys {
-		if (keys == nil) != (other.keys[i] == nil) {
-			return false
-		}
-		if keys != nil && !hmac.Equal(keys.authority, other.keys[i].authority) {
+		if !keys.equal(other.keys[i]) {
 			return false
 		}
 	}
 	return true
 }
 
+func (k *Keys) equal(other *Keys) bool {
+	if k == nil || other == nil {
+		return k == other
+	}
+	return k.generation == other.generation && hmac.Equal(k.authority, other.authority)
+}
+
 // Generation returns the generation of k.
 func (k *Keys) Generation() Generation { return k.generation }
 
@@ -197,5 +215,15 @@
 // Ring returns the current key ring.
 func (s *Store) Ring() *Ring { return s.ring.Load() }
 
-// Replace makes ring the current key ring.
-func (s *Store) Replace(ring *Ring) { s.ring.Store(ring) }
+// Replace makes ring the current key ring. Generations that stay keep their
+// certificate.
+func (s *Store) Replace(ring *Ring) {
+	merged := *ring
+	current := s.Ring()
+	for i, keys := range merged.keys {
+		if keys.equal(current.keys[i]) {
+			merged.keys[i] = current.keys[i]
+		}
+	}
+	s.ring.Store(&merged)
+}
--- a/internal/common/keyring/tls.go
+++ b/internal/common/keyring/tls.go
@@ -70,7 +70,7 @@
 	return nil
 }
 
-func (k *Keys) authorityCertificate() (*x509.Certificate, error) {
+func (k *Keys) newAuthorityCertificate() (*x509.Certificate, error) {
 	private := ed25519.NewKeyFromSeed(k.authority)
 	template := &x509.Certificate{
 		SerialNumber: big.NewInt(int64(k.generation) + 1),
@@ -89,7 +89,7 @@
 	return x509.ParseCertificate(der)
 }
 
-func (k *Keys) certificate() (*tls.Certificate, error) {
+func (k *Keys) newCertificate() (*tls.Certificate, error) {
 	authority, err := k.authorityCertificate()
 	if err != nil {
 		return nil, err
--- a/internal/common/settings/files.go
+++ b/internal/common/settings/files.go
@@ -43,6 +43,12 @@
 	if len(faults) > 0 {
 		return File{}, faults
 	}
+	return Parse(path, data)
+}
+
+// Parse checks the content of a settings file; path only names it in faults. The
+// error is of type Faults.
+func Parse(path string, data []byte) (File, error) {
 	file, faults := parseFile(path, data)
 	if len(faults) > 0 {
 		return File{}, faults
--- a/internal/common/settings/settings.go
+++ b/internal/common/settings/settings.go
@@ -38,6 +38,9 @@
 	source source
 }
 
+// File returns the path that the settings were read from.
+func (p *Process) File() string { return p.source.file }
+
 // Platform tells how to reach the platform's key-value service.
 type Platform struct {
 	// Address is the base URL.
--- a/internal/common/settings/settings_test.go
+++ b/internal/common/settings/settings_test.go
@@ -220,11 +220,10 @@
 	f.Add([]byte("role: balancer\nplatform: &a\n  address: *a\n<<: *a\n"))
 	f.Add([]byte("role: [balancer]\n? {a: b}\n: c\n"))
 	f.Add([]byte("role: balancer\nseeds: [[], {}, ~, !!binary x, |]\n"))
-	path := filepath.Join(f.TempDir(), "x.yaml")
+	const path = "x.yaml"
 	f.Fuzz(func(t *testing.T, data []byte) {
 		c := qt.New(t)
-		c.Assert(os.WriteFile(path, data, 0o600), qt.IsNil)
-		_, err := settings.LoadFile(path)
+		_, err := settings.Parse(path, data)
 		if err == nil {
 			return
 		}
