cli: Add settings check, keys generate and keys rotate

Cause: operators had no way to check settings or to make and rotate a key ring. Change: the commands, the Go version and revision in version, a visible completion command, and one line with exit code 2 for a wrong command line. Ruled out: the library's help page after each wrong command line, which hides the cause.

--- a/internal/cli/commands/root.go
+++ b/internal/cli/commands/root.go
@@ -13,26 +13,27 @@
 // Version is the version of the binary. The linker sets it for a release.
 var Version = "0.1.0-dev"
 
-// Run executes the command line. It returns the exit code.
+// Run executes the command line. It returns the exit code: 0, exitFailure or
+// exitUsage.
 func Run(ctx context.Context, arguments []string, stdout, stderr io.Writer) int {
 	root := &cli.Command{
-		Name:                  "orioledyke",
-		Usage:                 "layer-4 load balancer",
-		Version:               Version,
-		HideVersion:           true,
-		EnableShellCompletion: true,
-		Writer:                stdout,
-		ErrWriter:             stderr,
-		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
+		Name:                            "orioledyke",
+		Usage:                           "layer-4 load balancer",
+		Version:                         Version,
+		HideVersion:                     true,
+		EnableShellCompletion:           true,
+		ConfigureShellCompletionCommand: configureCompletion,
+		Writer:                          stdout,
+		ErrWriter:                       stderr,
+		ExitErrHandler:                  func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
+			newKeysCommand(),
+			newSettingsCommand(),
 			newVersionCommand(),
 		},
 	}
-	if err := root.Run(ctx, arguments); err != nil {
-		_, _ = io.WriteString(stderr, "orioledyke: "+err.Error()+"\n")
-		return 1
-	}
-	return 0
+	reportUsage(root)
+	return exitCode(stderr, root.Run(ctx, arguments))
 }
 
 // Main runs the command line of the process.
--- a/internal/cli/commands/version.go
+++ b/internal/cli/commands/version.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
+	"runtime/debug"
 
 	"github.com/urfave/cli/v3"
 )
@@ -10,10 +12,34 @@
 func newVersionCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "version",
-		Usage: "print the version",
+		Usage: "print the version, the Go version and the revision",
 		Action: func(_ context.Context, command *cli.Command) error {
-			_, err := fmt.Fprintln(command.Root().Writer, Version)
+			if err := checkArguments(command); err != nil {
+				return err
+			}
+			_, err := fmt.Fprintf(command.Root().Writer, "orioledyke %s %s%s\n", Version, runtime.Version(), revision())
 			return err
 		},
 	}
 }
+
+// revision returns the revision that the binary was built from, or nothing if
+// it is not known.
+func revision() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return ""
+	}
+	values := map[string]string{}
+	for _, setting := range info.Settings {
+		values[setting.Key] = setting.Value
+	}
+	text := values["vcs.revision"]
+	if text == "" {
+		return ""
+	}
+	if values["vcs.modified"] == "true" {
+		text += " modified"
+	}
+	return " revision " + text
+}
