request: Match requests by the contract's own rule

Cause: two rules for matching existed: the contract's (longest prefix by whole segments) and the handler's (first prefix), which would let /holdsworth run as /holds.

--- a/internal/sidecar/node/node.go
+++ b/internal/sidecar/node/node.go
@@ -32,8 +32,8 @@
 )
 
 const (
-	// loadTick is the precision of load messages and of the announced weight.
-	loadTick        = 100 * clock.Millis(1)
+	// weightTick is the time between two looks at the weight.
+	weightTick      = 100 * clock.Millis(1)
 	shutdownTimeout = 2 * time.Second
 	tracerName      = "github.com/orioledyke/orioledyke/internal/sidecar/node"
 	// goAwayTime lets clients learn that the sidecar leaves, and siblings take
@@ -244,7 +244,7 @@
 	if err != nil {
 		return err
 	}
-	n.tree.Add("load", n.reportLoad)
+	n.tree.Add("weight", n.announceWeight)
 	return nil
 }
 
@@ -282,20 +282,18 @@
 	return reasons
 }
 
-// reportLoad tells siblings the load and balancers the weight. A sidecar without
-// a contract stays in the state joining and gets no flows.
-func (n *node) reportLoad(ctx context.Context) error {
+// announceWeight tells balancers state and weight when they changed. A sidecar
+// without a contract stays in the state joining and gets no flows.
+func (n *node) announceWeight(ctx context.Context) error {
 	state, weight := membership.StateJoining, 0
-	ticks := clock.SystemTicker(ctx, loadTick)
+	ticks := clock.SystemTicker(ctx, weightTick)
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticks:
 		}
-		load := n.handler.Load()
-		n.exchange.Tick(load, n.clock.Now())
-		nextState, nextWeight := n.announced(load.Leaving)
+		nextState, nextWeight := n.announced(n.handler.Load().Leaving)
 		if nextState != state || nextWeight != weight {
 			state, weight = nextState, nextWeight
 			n.peer.Announce(state, weight)
--- a/internal/sidecar/request/handler.go
+++ b/internal/sidecar/request/handler.go
@@ -38,7 +38,7 @@
 	metrics   *metrics
 
 	mutex   sync.Mutex
-	kinds   []contract.Kind
+	service contract.Service
 	leaving bool
 	left    clock.Millis
 	active  int
@@ -80,7 +80,7 @@
 		config:  config,
 		gate:    newGate(config),
 		tickets: newTickets(config),
-		kinds:   config.Service.Kinds(),
+		service: config.Service,
 	}
 	h.metrics = newMetrics(config.Metrics, h)
 	ticks := config.Ticker(ctx, tickPeriod)
@@ -137,7 +137,7 @@
 // SetService replaces the contract of the service.
 func (h *Handler) SetService(service contract.Service) {
 	h.mutex.Lock()
-	h.kinds = service.Kinds()
+	h.service = service
 	h.mutex.Unlock()
 	h.gate.configure(service)
 }
--- a/internal/sidecar/request/match.go
+++ b/internal/sidecar/request/match.go
@@ -8,21 +8,15 @@
 	"github.com/orioledyke/orioledyke/internal/control/contract"
 )
 
-// match returns the first kind of the contract that fits the request.
+// match returns the kind of work of the request.
 func (h *Handler) match(r *http.Request) (contract.Kind, bool) {
 	if !canonical(r.URL.Path) {
 		return contract.Kind{}, false
 	}
 	h.mutex.Lock()
-	kinds := h.kinds
+	service := h.service
 	h.mutex.Unlock()
-	for _, kind := range kinds {
-		method := kind.Method() == "" || kind.Method() == r.Method
-		if method && strings.HasPrefix(r.URL.Path, kind.PathPrefix()) {
-			return kind, true
-		}
-	}
-	return contract.Kind{}, false
+	return service.Match(r.Method, r.URL.Path)
 }
 
 // canonical reports whether the path has no "." or ".." and no empty segment. An
