wire: Test and fuzz the decoders

Cause: strangers reach ParseHeader, Decode, Open and the file parsers, and none had a test. Change: unit tests and native fuzz tests with seeds in code. tunnel.ErrInvalid is now a plain error. Before, TestEveryBitIsAuthentic failed with "runtime error: comparing uncomparable type oops.OopsError": err == tunnel.ErrInvalid panics. Ruled out: a pointer to an oops error, which keeps a stack trace of init().

--- a/internal/common/keyring/keyring_test.go
+++ b/internal/common/keyring/keyring_test.go
@@ -24,8 +24,8 @@
 	return ring
 }
 
-// handshake returns the errors of both sides and the certificate of the server.
-func handshake(c *qt.C, client, server *keyring.Store) (clientErr, serverErr error, certificate []byte) {
+// handshake returns the certificate of the server and the errors of both sides.
+func handshake(c *qt.C, client, server *keyring.Store) (certificate []byte, clientErr, serverErr error) {
 	// A net.Pipe has no buffer, so that both sides could wait in a write.
 	listener, err := tls.Listen("tcp", "127.0.0.1:0", server.TLS())
 	c.Assert(err, qt.IsNil)
@@ -47,7 +47,7 @@
 		_, clientErr = conn.Write([]byte{0})
 		certificate = conn.ConnectionState().PeerCertificates[0].Raw
 	}
-	return clientErr, <-ended, certificate
+	return certificate, clientErr, <-ended
 }
 
 // TestTLS guards against links that break during a rotation, links to a process
@@ -59,19 +59,19 @@
 	rotated := keyring.NewStore(newRing(c, 1, both))
 	stranger := keyring.NewStore(newRing(c, 0, map[keyring.Generation][]byte{0: secret(3)}))
 
-	clientErr, serverErr, first := handshake(c, old, rotated)
+	first, clientErr, serverErr := handshake(c, old, rotated)
 	c.Assert(clientErr, qt.IsNil)
 	c.Assert(serverErr, qt.IsNil)
-	_, _, second := handshake(c, old, rotated)
+	second, _, _ := handshake(c, old, rotated)
 	c.Check(second, qt.DeepEquals, first)
 
 	rotated.Replace(newRing(c, 1, map[keyring.Generation][]byte{1: secret(2)}))
-	_, _, third := handshake(c, old, rotated)
+	third, _, _ := handshake(c, old, rotated)
 	c.Check(third, qt.DeepEquals, first, qt.Commentf("a generation that stays keeps its certificate"))
 
-	clientErr, _, _ = handshake(c, stranger, old)
+	_, clientErr, _ = handshake(c, stranger, old)
 	c.Check(clientErr, qt.ErrorMatches, ".*peer holds no key of this ring.*")
-	_, serverErr, _ = handshake(c, rotated, stranger)
+	_, _, serverErr = handshake(c, rotated, stranger)
 	c.Check(serverErr, qt.Not(qt.IsNil))
 }
 
--- a/internal/wire/tunnel/tunnel.go
+++ b/internal/wire/tunnel/tunnel.go
@@ -3,12 +3,12 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"net/netip"
 	"sync/atomic"
 
 	"github.com/orioledyke/orioledyke/internal/common/identity"
 	"github.com/orioledyke/orioledyke/internal/common/keyring"
-	"github.com/samber/oops"
 )
 
 // Layout of a datagram: version and type (1 byte), key generation (1), sender
@@ -67,8 +67,8 @@
 }
 
 // ErrInvalid is returned for a datagram that was not sealed by a holder of the
-// key ring.
-var ErrInvalid = oops.Code("tunnel-datagram-invalid").Errorf("tunnel datagram is malformed or not authentic")
+// key ring. It is not made by oops, whose errors cannot be compared with ==.
+var ErrInvalid = errors.New("tunnel datagram is malformed or not authentic")
 
 // Sealer encodes datagrams of one process. It is safe for concurrent use.
 type Sealer struct {
--- /dev/null
+++ b/internal/wire/tunnel/tunnel_test.go
@@ -0,0 +1,126 @@
+package tunnel_test
+
+import (
+	"bytes"
+	"net/netip"
+	"slices"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/orioledyke/orioledyke/internal/common/identity"
+	"github.com/orioledyke/orioledyke/internal/common/keyring"
+	"github.com/orioledyke/orioledyke/internal/wire/tunnel"
+)
+
+const sender identity.OwnerID = 0xa1b2c3d4e5f6
+
+func newRing(tb testing.TB, active keyring.Generation, generations ...keyring.Generation) *keyring.Ring {
+	secrets := map[keyring.Generation][]byte{}
+	for _, g := range generations {
+		secrets[g] = bytes.Repeat([]byte{byte(g) + 1}, keyring.SecretSize)
+	}
+	ring, err := keyring.New(active, secrets)
+	qt.Assert(tb, err, qt.IsNil)
+	return ring
+}
+
+func header(client string) tunnel.Header {
+	return tunnel.Header{
+		Type: tunnel.TypeInbound, Flags: tunnel.FlagRelay, Service: 0x0123456789,
+		Owner: 0x0123456789ab, Client: netip.MustParseAddrPort(client),
+	}
+}
+
+func seal(sealer *tunnel.Sealer, ring *keyring.Ring, h tunnel.Header, payload []byte) []byte {
+	buffer := make([]byte, len(payload)+tunnel.Overhead)
+	copy(buffer[tunnel.HeaderSize:], payload)
+	return sealer.Seal(ring.Active(), h, buffer, len(payload))
+}
+
+func TestRoundTrip(t *testing.T) {
+	c := qt.New(t)
+	ring := newRing(c, 2, 0, 2)
+	sealer := tunnel.NewSealer(sender)
+	for _, client := range []string{"192.0.2.7:443", "[2001:db8::7]:65535", "127.0.0.1:1"} {
+		for _, size := range []int{0, 1, 1200, tunnel.MaxPayload} {
+			payload := bytes.Repeat([]byte{byte(size)}, size)
+			datagram := seal(sealer, ring, header(client), payload)
+			c.Check(len(datagram), qt.Equals, size+tunnel.Overhead)
+			got, content, err := tunnel.Open(ring, datagram)
+			c.Assert(err, qt.IsNil)
+			c.Check(got, qt.Equals, header(client))
+			c.Check(content, qt.DeepEquals, payload)
+		}
+	}
+}
+
+// TestEveryBitIsAuthentic guards against a field that a party on the path can
+// change.
+func TestEveryBitIsAuthentic(t *testing.T) {
+	c := qt.New(t)
+	ring := newRing(c, 0, 0, 1, 2, 3, 4, 5, 6)
+	datagram := seal(tunnel.NewSealer(sender), ring, header("192.0.2.7:443"), []byte("payload"))
+	for bit := range len(datagram) * 8 {
+		changed := slices.Clone(datagram)
+		changed[bit/8] ^= 1 << (bit % 8)
+		_, _, err := tunnel.Open(ring, changed)
+		c.Check(err, qt.Equals, tunnel.ErrInvalid, qt.Commentf("bit %d", bit))
+	}
+	for size := range datagram {
+		_, _, err := tunnel.Open(ring, slices.Clone(datagram[:size]))
+		c.Check(err, qt.Equals, tunnel.ErrInvalid, qt.Commentf("%d bytes", size))
+	}
+}
+
+// TestGenerations guards against datagrams that are lost between two processes
+// that activated a generation at different moments, and against a stranger.
+func TestGenerations(t *testing.T) {
+	c := qt.New(t)
+	sealer := tunnel.NewSealer(sender)
+	fromOld := seal(sealer, newRing(c, 0, 0, 1), header("192.0.2.7:443"), nil)
+	_, _, err := tunnel.Open(newRing(c, 1, 0, 1), slices.Clone(fromOld))
+	c.Check(err, qt.IsNil)
+	_, _, err = tunnel.Open(newRing(c, 1, 1), slices.Clone(fromOld))
+	c.Check(err, qt.Equals, tunnel.ErrInvalid)
+	stranger, err := keyring.New(0, map[keyring.Generation][]byte{0: make([]byte, keyring.SecretSize)})
+	c.Assert(err, qt.IsNil)
+	_, _, err = tunnel.Open(stranger, slices.Clone(fromOld))
+	c.Check(err, qt.Equals, tunnel.ErrInvalid)
+}
+
+// TestNonceIsUnique guards against a repeated nonce, which would reveal the key
+// stream of AES-GCM and allow forgeries.
+func TestNonceIsUnique(t *testing.T) {
+	c := qt.New(t)
+	ring := newRing(c, 0, 0)
+	seen := map[string]bool{}
+	for _, owner := range []identity.OwnerID{sender, sender + 1} {
+		sealer := tunnel.NewSealer(owner)
+		for range 1000 {
+			seen[string(seal(sealer, ring, header("192.0.2.7:443"), nil)[2:14])] = true
+		}
+	}
+	c.Check(seen, qt.HasLen, 2000)
+}
+
+// FuzzOpen guards against a panic, an accepted forgery and allocation on the
+// path that a stranger reaches.
+func FuzzOpen(f *testing.F) {
+	ring := newRing(f, 1, 1)
+	valid := seal(tunnel.NewSealer(sender), ring, header("192.0.2.7:443"), []byte("payload"))
+	f.Add(valid)
+	f.Add(valid[:tunnel.Overhead])
+	f.Add([]byte{})
+	f.Add(make([]byte, tunnel.Overhead+tunnel.MaxPayload))
+	f.Fuzz(func(t *testing.T, original []byte) {
+		// Open works in place, and the engine keeps its input.
+		datagram := slices.Clone(original)
+		_, payload, err := tunnel.Open(ring, datagram)
+		if err == nil && !bytes.Equal(original, valid) {
+			t.Fatal("accepted a datagram that was not sealed")
+		}
+		if err == nil && len(payload) > len(datagram) {
+			t.Fatal("payload is longer than its datagram")
+		}
+	})
+}
