balancer: Limit first packets and flows by the contract

Cause: the contract's flows were not enforced, and a flood of first packets at one service was forwarded whole to its sidecars. Ruled out: a limit that operators set, because limits follow from the contract; GetConfigForClient returning nil, because quic-go then takes its defaults. Figures: 4,200 first packets a second for 7 sidecars with 2,000 flows. Conclusion: established flows are never limited, only new ones.

--- a/internal/balancer/client/forwarder.go
+++ b/internal/balancer/client/forwarder.go
@@ -67,9 +67,19 @@
 	packets *ipv4.PacketConn
 }
 
+// Service tells how a service is reached.
+type Service struct {
+	// Port is the UDP port at the entry address.
+	Port uint16
+	// Flows is how many flows each sidecar holds at most; 0 means no limit.
+	Flows int
+}
+
 type socket struct {
 	service identity.ServiceID
 	port    uint16
+	flows   atomic.Int64
+	limiter routing.Limiter
 	conn    *net.UDPConn
 	packets *ipv4.PacketConn
 }
@@ -142,35 +152,37 @@
 // SetServices opens sockets for new services and closes those of services that
 // are gone or have another port. A port that cannot be opened is reported and
 // leaves the other services as they are.
-func (f *Forwarder) SetServices(ports map[identity.ServiceID]uint16) error {
+func (f *Forwarder) SetServices(services map[identity.ServiceID]Service) error {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	for id, s := range f.sockets {
-		if port, ok := ports[id]; !ok || port != s.port {
+		if service, ok := services[id]; !ok || service.Port != s.port {
 			_ = s.conn.Close()
 			delete(f.sockets, id)
 		}
 	}
 	var failed []error
-	for id, port := range ports {
-		if _, ok := f.sockets[id]; ok {
+	for id, service := range services {
+		if s, ok := f.sockets[id]; ok {
+			s.flows.Store(int64(service.Flows))
 			continue
 		}
-		if err := f.open(id, port); err != nil {
+		if err := f.open(id, service); err != nil {
 			failed = append(failed, err)
 		}
 	}
 	return errors.Join(failed...)
 }
 
-func (f *Forwarder) open(id identity.ServiceID, port uint16) error {
-	address := netip.AddrPortFrom(f.config.Entry, port)
+func (f *Forwarder) open(id identity.ServiceID, service Service) error {
+	address := netip.AddrPortFrom(f.config.Entry, service.Port)
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
 	if err != nil {
 		return oops.Code("entry-address-unavailable").Wrapf(err, "open %s", address)
 	}
 	enlargeBuffers(conn)
-	s := &socket{service: id, port: port, conn: conn, packets: ipv4.NewPacketConn(conn)}
+	s := &socket{service: id, port: service.Port, conn: conn, packets: ipv4.NewPacketConn(conn)}
+	s.flows.Store(int64(service.Flows))
 	f.sockets[id] = s
 	f.done.Go(func() { f.receiveFromClients(s) })
 	return nil
@@ -230,10 +242,14 @@
 func (f *Forwarder) sealBatch(s *socket, router *routing.Router, in *batch, n int, out [][]ipv4.Message) {
 	table, ring, now := f.table.Load(), f.config.Keys.Ring(), f.config.Clock.Now()
 	keys := ring.Active()
+	flows, members := int(s.flows.Load()), len(table.Members(s.service))
 	for i := range n {
 		size := in.messages[i].N
 		buffer := in.buffers[i]
 		decision := router.Route(table, ring, s.service, buffer[tunnel.HeaderSize:tunnel.HeaderSize+size])
+		if decision.Reason == routing.ToPlaced && !s.limiter.Allow(flows, members, now) {
+			decision = routing.Decision{Reason: routing.DropOverload}
+		}
 		f.reasons[decision.Reason].Add(1)
 		if !decision.Forward() {
 			continue
--- a/internal/balancer/client/forwarder_test.go
+++ b/internal/balancer/client/forwarder_test.go
@@ -52,7 +52,7 @@
 	free := listenLoopback(c)
 	port := free.LocalAddr().(*net.UDPAddr).AddrPort().Port()
 	c.Assert(free.Close(), qt.IsNil)
-	c.Assert(f.forwarder.SetServices(map[identity.ServiceID]uint16{f.member.Service: port}), qt.IsNil)
+	c.Assert(f.forwarder.SetServices(map[identity.ServiceID]Service{f.member.Service: {Port: port}}), qt.IsNil)
 	f.client, err = net.DialUDP("udp", nil, net.UDPAddrFromAddrPort(netip.AddrPortFrom(loopback, port)))
 	c.Assert(err, qt.IsNil)
 	return f
--- a/internal/balancer/node/state.go
+++ b/internal/balancer/node/state.go
@@ -58,15 +58,15 @@
 // that cannot be opened makes this balancer not ready, so that the fabric sends
 // to others.
 func (s *state) openServices() {
-	ports := map[identity.ServiceID]uint16{}
+	services := map[identity.ServiceID]client.Service{}
 	for _, d := range s.contracts.Documents() {
 		if c, ok := d.Contract(); ok {
 			for _, service := range c.Services() {
-				ports[service.ID()] = service.Port()
+				services[service.ID()] = client.Service{Port: service.Port(), Flows: service.Flows()}
 			}
 		}
 	}
-	err := s.forwarder.SetServices(ports)
+	err := s.forwarder.SetServices(services)
 	if err != nil {
 		s.logger.Error("service-address-unavailable", zap.Error(err))
 	}
--- a/internal/balancer/routing/route.go
+++ b/internal/balancer/routing/route.go
@@ -12,11 +12,12 @@
 // Reason tells how a decision came about.
 type Reason uint8
 
-// Reasons for a decision. The first three drop the datagram.
+// Reasons for a decision. The first four drop the datagram.
 const (
 	DropNotQUIC Reason = iota
 	DropForeignConnectionID
 	DropNoMember
+	DropOverload
 	ToOwner
 	ToPlaced
 	ToRelay
@@ -26,6 +27,7 @@
 	DropNotQUIC:             "drop-not-quic",
 	DropForeignConnectionID: "drop-foreign-connection-id",
 	DropNoMember:            "drop-no-member",
+	DropOverload:            "drop-overload",
 	ToOwner:                 "to-owner",
 	ToPlaced:                "to-placed",
 	ToRelay:                 "to-relay",
--- a/internal/balancer/routing/routing_test.go
+++ b/internal/balancer/routing/routing_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/internal/common/identity"
 	"github.com/orioledyke/orioledyke/internal/common/keyring"
 	"github.com/orioledyke/orioledyke/internal/wire/quic"
@@ -186,6 +187,32 @@
 	c.Check(changed.Link(), qt.Equals, link)
 }
 
+// TestLimiterBoundsFirstPackets guards against a flood of new flows that takes
+// the time of all sidecars of a service, and against a limit that stops a small
+// service altogether.
+func TestLimiterBoundsFirstPackets(t *testing.T) {
+	c := qt.New(t)
+	count := func(l *Limiter, flows, members int, from, to clock.Millis) int {
+		passed := 0
+		for now := from; now < to; now++ {
+			for range 10 {
+				if l.Allow(flows, members, now) {
+					passed++
+				}
+			}
+		}
+		return passed
+	}
+	var l Limiter
+	// 7 sidecars with 2,000 flows: 4,200 packets a second, after a full bucket.
+	c.Check(count(&l, 2000, 7, 0, 1000), qt.Equals, 8395)
+	c.Check(count(&l, 2000, 7, 1000, 2000), qt.Equals, 4200)
+	var small Limiter
+	c.Check(count(&small, 1, 1, 0, 1), qt.Equals, firstPackets)
+	var unlimited Limiter
+	c.Check(count(&unlimited, 0, 1, 0, 10), qt.Equals, 100)
+}
+
 // BenchmarkRoute measures one decision. The target is under 250 ns without
 // allocation at 1,300 services and 4,700 members.
 func BenchmarkRoute(b *testing.B) {
--- a/internal/sidecar/client/dispatch_test.go
+++ b/internal/sidecar/client/dispatch_test.go
@@ -74,6 +74,7 @@
 	c.Check(p.Decide([]byte("one"), Load{Flows: 100}, idle, 0), qt.Equals, testSibling)
 	c.Check(p.Decide([]byte("one"), Load{Flows: 100}, busy, handshakeRetention-1), qt.Equals, testSibling)
 	c.Check(p.Decide([]byte("one"), Load{Flows: 100}, busy, handshakeRetention), qt.Equals, testSelf)
+	c.Check(p.Decide([]byte("full"), Load{Flows: 9, Full: true}, busy, 0), qt.Equals, testSibling)
 	c.Check(p.Decide([]byte("two"), Load{Flows: 100}, map[identity.OwnerID]Load{testSibling: {Leaving: true}}, 0), qt.Equals, testSelf)
 }
 
--- a/internal/sidecar/client/path_test.go
+++ b/internal/sidecar/client/path_test.go
@@ -121,7 +121,7 @@
 		c.Assert(err, qt.IsNil)
 		f.SetTable(table)
 		port := freePort(c)
-		c.Assert(f.SetServices(map[identity.ServiceID]uint16{service: port}), qt.IsNil)
+		c.Assert(f.SetServices(map[identity.ServiceID]balancer.Service{service: {Port: port}}), qt.IsNil)
 		balancers = append(balancers, netip.AddrPortFrom(loopback, port))
 	}
 	sprayer, err := fabric.New(ctx, fabric.Config{Listen: netip.AddrPortFrom(loopback, 0), Balancers: balancers})
--- a/internal/sidecar/client/placement.go
+++ b/internal/sidecar/client/placement.go
@@ -19,9 +19,14 @@
 // Load is what a sidecar tells its siblings about itself.
 type Load struct {
 	Leaving bool
-	Flows   int
+	// Full means that the sidecar holds as many flows as its contract allows.
+	Full  bool
+	Flows int
 }
 
+// closed reports whether the sidecar takes no new flow.
+func (l Load) closed() bool { return l.Leaving || l.Full }
+
 // Placement decides which sidecar of a service takes a new flow. It is not safe
 // for concurrent use.
 type Placement struct {
@@ -61,7 +66,7 @@
 	var best identity.OwnerID
 	bestFlows := 0
 	for owner, load := range siblings {
-		if load.Leaving {
+		if load.closed() {
 			continue
 		}
 		if best == 0 || load.Flows < bestFlows || load.Flows == bestFlows && owner < best {
@@ -71,7 +76,7 @@
 	if best == 0 {
 		return p.self
 	}
-	if own.Leaving || own.Flows*100 > (bestFlows+1)*(100+relayMargin) {
+	if own.closed() || own.Flows*100 > (bestFlows+1)*(100+relayMargin) {
 		return best
 	}
 	return p.self
--- a/internal/sidecar/client/server.go
+++ b/internal/sidecar/client/server.go
@@ -27,6 +27,8 @@
 	packetSize = 1200
 )
 
+var errFull = oops.Code("flow-limit-reached").Errorf("the sidecar holds as many flows as the contract allows")
+
 // ServerConfig configures a Server.
 type ServerConfig struct {
 	Conn    *Conn
@@ -36,6 +38,9 @@
 	// Certificate returns the current certificate towards clients.
 	Certificate func(*tls.ClientHelloInfo) (*tls.Certificate, error)
 	Handler     http.Handler
+	// Full reports whether the sidecar holds as many flows as it may. Further
+	// ones are refused.
+	Full func() bool
 }
 
 // Server serves HTTP/3 to clients.
@@ -71,6 +76,13 @@
 		DisablePathMTUDiscovery: true,
 		Allow0RTT:               false,
 	}
+	accepted := quicConfig.Clone()
+	quicConfig.GetConfigForClient = func(*quic.ClientInfo) (*quic.Config, error) {
+		if config.Full != nil && config.Full() {
+			return nil, errFull
+		}
+		return accepted, nil
+	}
 	var err error
 	if s.listener, err = s.transport.ListenEarly(tlsConfig, quicConfig); err != nil {
 		return nil, oops.Code("quic-listen-failed").Wrap(err)
--- a/internal/sidecar/node/node.go
+++ b/internal/sidecar/node/node.go
@@ -164,13 +164,20 @@
 
 func (n *node) load() client.Load {
 	load := n.handler.Load()
-	return client.Load{Leaving: load.Leaving, Flows: load.Flows}
+	return client.Load{Leaving: load.Leaving, Full: n.full(load.Flows), Flows: load.Flows}
+}
+
+// full reports whether the contract allows no flow more. Siblings have the same
+// contract and so the same limit.
+func (n *node) full(flows int) bool {
+	limit := n.contract.service().Flows()
+	return limit > 0 && flows >= limit
 }
 
 func (n *node) siblingLoads() map[identity.OwnerID]client.Load {
 	loads := map[identity.OwnerID]client.Load{}
 	for owner, load := range n.exchange.Loads(n.clock.Now()) {
-		loads[owner] = client.Load{Leaving: load.Leaving, Flows: load.Flows}
+		loads[owner] = client.Load{Leaving: load.Leaving, Full: n.full(load.Flows), Flows: load.Flows}
 	}
 	return loads
 }
@@ -205,6 +212,7 @@
 	if n.server, err = client.NewServer(client.ServerConfig{
 		Conn: n.conn, Self: n.self, Service: n.service, Keys: n.keys,
 		Certificate: n.certificate.GetCertificate, Handler: telemetry.Hop(tracerName, "balancer", n.balancerOf, n.handler),
+		Full: func() bool { return n.full(n.server.Flows()) },
 	}); err != nil {
 		return err
 	}
