platform: Watch a change log instead of all contracts

Cause: the service answers a watch of contracts/ with all values, also when nothing changed. With 1,300 contracts of 1 KB that is about 2 MB for each response, far above the 8 KB/s of a node. Change: each write extends the key contract-changes, which names the customers of the last 8 changes, in the same transaction. Watches wait for this key and read only the contracts that it names, or all after a gap, a restore or at the start. The log also makes a delayed transaction fail after any later write, so a port that was taken meanwhile is now certainly "not written". Ruled out: a watch of small keys for each customer, which still grows with them.

--- a/internal/control/platform/harness_test.go
+++ b/internal/control/platform/harness_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"time"
 
 	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/internal/control/contract"
@@ -40,22 +41,59 @@
 	}
 }
 
-// newStandin returns a stand-in whose time is now and whose blocking queries end
-// only by a change.
-func newStandin(now func() clock.Millis) *standin.Server {
-	return standin.NewServer(standin.Config{Now: now})
+// newStandin returns a stand-in whose blocking queries end by a change or by a
+// value from waited.
+func newStandin(now func() clock.Millis, waited <-chan time.Time) *standin.Server {
+	return standin.NewServer(standin.Config{
+		Now: now, After: func(clock.Millis) <-chan time.Time { return waited },
+	})
 }
 
-// newClient returns a client that waits for no time.
-func newClient(transport http.RoundTripper, newChangeID func() string) *platform.Client {
-	return platform.New(platform.Config{
-		Address: "http://platform", Transport: transport, NewChangeID: newChangeID,
+func stopped() clock.Millis { return 0 }
+
+// testConfig returns the configuration of a client that waits for no time. Its
+// call timeout is longer than any test.
+func testConfig(transport http.RoundTripper) platform.Config {
+	return platform.Config{
+		Address: "http://platform", Transport: transport, CallTimeout: clock.Minute * 60,
 		Wait:   func(ctx context.Context, _ clock.Millis) error { return ctx.Err() },
 		Random: func() float64 { return 0.5 },
-	})
+	}
+}
+
+// newClient returns a client with the change identifiers name-1, name-2 and so
+// on.
+func newClient(name string, transport http.RoundTripper) *platform.Client {
+	config := testConfig(transport)
+	changes := 0
+	config.NewChangeID = func() string {
+		changes++
+		return fmt.Sprintf("%s-%d", name, changes)
+	}
+	return platform.New(config)
+}
+
+// pause is a Wait that reports each wait and lasts until the test ends it.
+type pause struct {
+	started chan clock.Millis
+	end     chan struct{}
+}
+
+func newPause() *pause {
+	return &pause{started: make(chan clock.Millis), end: make(chan struct{})}
+}
+
+func (p *pause) wait(ctx context.Context, d clock.Millis) error {
+	p.started <- d
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-p.end:
+		return nil
+	}
 }
 
-func parse(customer string, ports ...int) contract.Contract {
+func parse(customer string, ports ...uint16) contract.Contract {
 	var text strings.Builder
 	fmt.Fprintf(&text, "customer: %s\nservices:\n", customer)
 	for _, port := range ports {
--- a/internal/control/platform/kv.go
+++ b/internal/control/platform/kv.go
@@ -54,22 +54,24 @@
 	return pairs[0], true, nil
 }
 
-// list reads all keys under a prefix.
-func (c *Client) list(ctx context.Context, prefix string) ([]pair, uint64, error) {
-	return c.read(ctx, prefix, url.Values{"recurse": {""}}, 0)
+// list reads all keys under a prefix with full consistency.
+func (c *Client) list(ctx context.Context, prefix string) ([]pair, error) {
+	pairs, _, err := c.read(ctx, prefix, url.Values{"recurse": {""}, "consistent": {""}}, 0)
+	return pairs, err
 }
 
-// watch reads all keys under a prefix once its index is higher than after, or
-// when the service has waited long enough.
-func (c *Client) watch(ctx context.Context, prefix string, after uint64) ([]pair, uint64, error) {
-	query := url.Values{"recurse": {""}}
+// watch reads a key once its index is higher than after, or when the service has
+// waited long enough.
+func (c *Client) watch(ctx context.Context, key string, after uint64) ([]pair, uint64, error) {
 	if after == 0 {
-		return c.read(ctx, prefix, query, 0)
+		return c.read(ctx, key, nil, 0)
+	}
+	query := url.Values{
+		"index": {strconv.FormatUint(after, 10)},
+		"wait":  {c.config.WatchWait.Duration().String()},
 	}
-	query.Set("index", strconv.FormatUint(after, 10))
-	query.Set("wait", c.config.WatchWait.Duration().String())
 	// Consul adds up to 1/16 to the wait.
-	return c.read(ctx, prefix, query, c.config.WatchWait+c.config.WatchWait/16)
+	return c.read(ctx, key, query, c.config.WatchWait+c.config.WatchWait/16)
 }
 
 func (c *Client) read(ctx context.Context, key string, query url.Values, extra clock.Millis) ([]pair, uint64, error) {
--- a/internal/control/platform/race_test.go
+++ b/internal/control/platform/race_test.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"testing"
 
-	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/internal/control/contract"
 	"github.com/orioledyke/orioledyke/internal/control/platform"
 	standin "github.com/orioledyke/orioledyke/internal/standin/platform"
@@ -22,7 +21,10 @@
 	}
 }
 
-var customers = []string{"ferncliff-willow", "presa-digital"}
+var (
+	customers = []string{"ferncliff-willow", "presa-digital"}
+	ports     = []uint16{4443, 4444, 4445, 4446}
+)
 
 // writer runs one command at a time. Its goroutine runs only between two of its
 // calls, while the test waits for it.
@@ -54,18 +56,20 @@
 
 func newFleet() *fleet {
 	f := &fleet{
-		server:  newStandin(func() clock.Millis { return 0 }),
+		server:  newStandin(stopped, nil),
 		history: make(map[string][]contract.Document), refused: make(map[string]error),
 	}
 	for _, name := range []string{"a", "b", "c"} {
 		g := newGate()
 		w := &writer{gate: g, done: make(chan outcome)}
 		changes := 0
-		w.client = newClient(g.transport(), func() string {
+		config := testConfig(g.transport())
+		config.NewChangeID = func() string {
 			changes++
 			w.changeID = fmt.Sprintf("%s-%d", name, changes)
 			return w.changeID
-		})
+		}
+		w.client = platform.New(config)
 		f.writers = append(f.writers, w)
 	}
 	return f
@@ -118,7 +122,7 @@
 	}
 	w := rapid.SampledFrom(idle).Draw(t, "writer")
 	customer := rapid.SampledFrom(customers).Draw(t, "customer")
-	ports := rapid.SliceOfNDistinct(rapid.IntRange(4443, 4446), 1, 3, rapid.ID).Draw(t, "ports")
+	chosen := rapid.SliceOfNDistinct(rapid.SampledFrom(ports), 1, 3, rapid.ID).Draw(t, "ports")
 	expected := f.drawExpected(t, customer)
 	deletion := rapid.IntRange(0, 3).Draw(t, "deletion") == 0
 	go func() {
@@ -126,7 +130,7 @@
 		if deletion {
 			o.document, o.err = w.client.DeleteContract(context.Background(), customer, expected)
 		} else {
-			o.document, o.err = w.client.PutContract(context.Background(), parse(customer, ports...), expected)
+			o.document, o.err = w.client.PutContract(context.Background(), parse(customer, chosen...), expected)
 		}
 		w.done <- o
 	}()
@@ -199,6 +203,12 @@
 			owners[port] = customer
 		}
 	}
+	for _, port := range ports {
+		owner, _ := f.server.Value(fmt.Sprintf("addresses/%d", port))
+		if string(owner) != owners[port] {
+			t.Fatalf("port %d is claimed by %q but used by %q", port, owner, owners[port])
+		}
+	}
 	for _, d := range f.written {
 		f.checkWritten(t, d)
 	}
--- a/internal/control/platform/read.go
+++ b/internal/control/platform/read.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"strings"
 
 	"github.com/orioledyke/orioledyke/internal/control/contract"
@@ -31,10 +30,13 @@
 func (c *Client) Contracts(ctx context.Context) ([]contract.Document, error) {
 	var pairs []pair
 	err := c.retry(ctx, func() (err error) {
-		pairs, _, err = c.list(ctx, contractPrefix)
+		pairs, err = c.list(ctx, contractPrefix)
 		return err
 	})
-	return c.documents(pairs), err
+	if err != nil {
+		return nil, err
+	}
+	return c.documents(pairs), nil
 }
 
 // documents parses stored contracts. One that cannot be parsed must not keep the
@@ -51,43 +53,3 @@
 	}
 	return documents
 }
-
-// WatchContracts delivers every document, tombstones included, and then each
-// change, until ctx ends. It reconnects after faults. For a customer it delivers
-// rising revisions only, but may skip some.
-func (c *Client) WatchContracts(ctx context.Context, deliver func(contract.Document)) error {
-	delivered := contract.NewStore()
-	var index uint64
-	for failures := 0; ctx.Err() == nil; {
-		pairs, next, err := c.watch(ctx, contractPrefix, index)
-		if err != nil {
-			if ctx.Err() != nil {
-				break
-			}
-			c.config.Report(err)
-			failures++
-			if c.backoff(ctx, failures) != nil {
-				break
-			}
-			continue
-		}
-		failures = 0
-		if next < index {
-			// The service was restored or replaced: its indices start again.
-			index = 0
-		}
-		for _, d := range c.documents(changedAfter(pairs, index)) {
-			if delivered.Apply(d) {
-				deliver(d)
-			}
-		}
-		index = next
-	}
-	return ctx.Err()
-}
-
-// changedAfter returns the pairs that changed after index. Parsing all contracts
-// at each response would take a good part of a core.
-func changedAfter(pairs []pair, index uint64) []pair {
-	return slices.DeleteFunc(pairs, func(p pair) bool { return p.ModifyIndex <= index })
-}
--- a/internal/control/platform/seeds.go
+++ b/internal/control/platform/seeds.go
@@ -43,7 +43,7 @@
 func (c *Client) Seeds(ctx context.Context) ([]Seed, error) {
 	var pairs []pair
 	err := c.retry(ctx, func() (err error) {
-		pairs, _, err = c.list(ctx, seedPrefix)
+		pairs, err = c.list(ctx, seedPrefix)
 		return err
 	})
 	if err != nil {
--- /dev/null
+++ b/internal/control/platform/watch.go
@@ -0,0 +1,110 @@
+package platform
+
+import (
+	"context"
+	"errors"
+
+	"github.com/orioledyke/orioledyke/internal/control/contract"
+)
+
+var errNoIndex = errors.New("platform: watch: no index in the response")
+
+// watcher is the progress of one WatchContracts call.
+type watcher struct {
+	client  *Client
+	deliver func(contract.Document)
+	// revisions holds the newest revision delivered for each customer.
+	revisions map[string]uint64
+	// index is the index of the last response; 0 reads everything.
+	index    uint64
+	sequence uint64
+}
+
+// WatchContracts delivers every document, tombstones included, and then each
+// change, until ctx ends. It reconnects after faults. For a customer it delivers
+// rising revisions only, but may skip some.
+func (c *Client) WatchContracts(ctx context.Context, deliver func(contract.Document)) error {
+	w := &watcher{client: c, deliver: deliver, revisions: make(map[string]uint64)}
+	failures := 0
+	for ctx.Err() == nil {
+		err := w.next(ctx)
+		if err == nil {
+			failures = 0
+			continue
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		c.config.Report(err)
+		failures++
+		if c.backoff(ctx, failures) != nil {
+			break
+		}
+	}
+	return ctx.Err()
+}
+
+// next waits for the change log and reads what it names. After a fault it starts
+// again from the same index.
+func (w *watcher) next(ctx context.Context) error {
+	pairs, index, err := w.client.watch(ctx, changeLogKey, w.index)
+	if err != nil {
+		return err
+	}
+	if index == 0 {
+		// Index 0 would not block, so the loop would not pause.
+		return errNoIndex
+	}
+	var data []byte
+	if len(pairs) > 0 {
+		data = pairs[0].Value
+	}
+	log, err := parseChangeLog(data)
+	if err != nil {
+		w.client.config.Report(err)
+	}
+	customers, ok := log.since(w.sequence)
+	// A lower index means that the service was restored or replaced.
+	if w.index == 0 || index < w.index || !ok {
+		err = w.readAll(ctx)
+	} else {
+		err = w.readSome(ctx, customers)
+	}
+	if err != nil {
+		return err
+	}
+	w.index = index
+	w.sequence = log.Sequence
+	return nil
+}
+
+func (w *watcher) readAll(ctx context.Context) error {
+	pairs, err := w.client.list(ctx, contractPrefix)
+	if err != nil {
+		return err
+	}
+	w.apply(pairs)
+	return nil
+}
+
+func (w *watcher) readSome(ctx context.Context, customers []string) error {
+	for _, customer := range customers {
+		stored, ok, err := w.client.get(ctx, contractPrefix+customer)
+		if err != nil {
+			return err
+		}
+		if ok {
+			w.apply([]pair{stored})
+		}
+	}
+	return nil
+}
+
+func (w *watcher) apply(pairs []pair) {
+	for _, d := range w.client.documents(pairs) {
+		if d.Revision() > w.revisions[d.Customer()] {
+			w.revisions[d.Customer()] = d.Revision()
+			w.deliver(d)
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/platform/watch_test.go
@@ -0,0 +1,133 @@
+package platform_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/common/identity"
+	"github.com/orioledyke/orioledyke/internal/control/contract"
+	"github.com/orioledyke/orioledyke/internal/control/platform"
+	standin "github.com/orioledyke/orioledyke/internal/standin/platform"
+)
+
+// Guards against a watch that ends with an outage, misses changes, or delivers
+// an older revision when the platform is restored from an old state.
+func TestWatchContracts(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	server := newStandin(stopped, nil)
+	var current atomic.Pointer[standin.Server]
+	current.Store(server)
+	p := newPause()
+	config := testConfig(roundTrip(func(r *http.Request) (*http.Response, error) { return serve(current.Load())(r) }))
+	config.Wait = p.wait
+	delivered := make(chan string)
+	done := make(chan error)
+	go func() {
+		done <- platform.New(config).WatchContracts(ctx, func(d contract.Document) {
+			delivered <- fmt.Sprintf("%s %d %t", d.Customer(), d.Revision(), d.Deleted())
+		})
+	}()
+	operator := newClient("a", serve(server))
+	put := func(operator *platform.Client, customer string, port uint16) {
+		_, err := operator.PutContract(ctx, parse(customer, port), nil)
+		c.Assert(err, qt.IsNil)
+	}
+	put(operator, "presa-digital", 4443)
+	c.Assert(<-delivered, qt.Equals, "presa-digital 1 false")
+	put(operator, "presa-digital", 4444)
+	c.Assert(<-delivered, qt.Equals, "presa-digital 2 false")
+
+	server.SetSwitches(standin.Switches{Outage: true})
+	<-p.started
+	server.SetSwitches(standin.Switches{})
+	// More changes than the change log holds.
+	for i := range uint16(20) {
+		put(operator, fmt.Sprintf("customer-%02d", i), 5000+i)
+	}
+	_, err := operator.DeleteContract(ctx, "presa-digital", nil)
+	c.Assert(err, qt.IsNil)
+	p.end <- struct{}{}
+	for i := range 20 {
+		c.Assert(<-delivered, qt.Equals, fmt.Sprintf("customer-%02d 1 false", i))
+	}
+	c.Assert(<-delivered, qt.Equals, "presa-digital 3 true")
+
+	waited := make(chan time.Time)
+	restored := newStandin(stopped, waited)
+	restorer := newClient("b", serve(restored))
+	put(restorer, "presa-digital", 4443)
+	server.SetSwitches(standin.Switches{Outage: true})
+	<-p.started
+	current.Store(restored)
+	p.end <- struct{}{}
+	waited <- time.Time{}
+	for port := range uint16(3) {
+		put(restorer, "presa-digital", 4444+port)
+	}
+	c.Assert(<-delivered, qt.Equals, "presa-digital 4 false")
+	cancel()
+	restored.SetSwitches(standin.Switches{})
+	c.Assert(<-done, qt.ErrorIs, context.Canceled)
+}
+
+// Guards against a seed that stays away after a lost lease, an outage or a pause
+// of its holder, and against one that stays after a shutdown.
+func TestRegisterSeed(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	var now atomic.Int64
+	server := newStandin(func() clock.Millis { return clock.Millis(now.Load()) }, nil)
+	p := newPause()
+	config := testConfig(serve(server))
+	config.Wait = p.wait
+	address := netip.MustParseAddrPort("10.0.0.1:7946")
+	done := make(chan error)
+	go func() { done <- platform.New(config).RegisterSeed(ctx, "hope", identity.OwnerID(7), address) }()
+	seeds := func() int {
+		seeds, err := newClient("a", serve(server)).Seeds(context.Background())
+		c.Assert(err, qt.IsNil)
+		for _, s := range seeds {
+			c.Assert(s.DataCentre(), qt.Equals, "hope")
+			c.Assert(s.ID(), qt.Equals, identity.OwnerID(7))
+			c.Assert(s.Address(), qt.Equals, address)
+		}
+		return len(seeds)
+	}
+	renewal := <-p.started
+	c.Assert(seeds(), qt.Equals, 1)
+
+	server.ExpireLeases()
+	c.Assert(seeds(), qt.Equals, 0)
+	p.end <- struct{}{}
+	c.Assert(<-p.started, qt.Equals, renewal)
+	c.Assert(seeds(), qt.Equals, 1)
+
+	server.SetSwitches(standin.Switches{Outage: true})
+	p.end <- struct{}{}
+	c.Assert(<-p.started, qt.Not(qt.Equals), renewal)
+	server.SetSwitches(standin.Switches{})
+	p.end <- struct{}{}
+	c.Assert(<-p.started, qt.Equals, renewal)
+	c.Assert(seeds(), qt.Equals, 1)
+
+	now.Add(int64(clock.Minute))
+	c.Assert(seeds(), qt.Equals, 0)
+	p.end <- struct{}{}
+	c.Assert(<-p.started, qt.Equals, renewal)
+	c.Assert(seeds(), qt.Equals, 1)
+
+	server.SetSwitches(standin.Switches{LostResponses: 1})
+	p.end <- struct{}{}
+	c.Assert(<-p.started, qt.Not(qt.Equals), renewal)
+	cancel()
+	c.Assert(<-done, qt.ErrorIs, context.Canceled)
+	c.Assert(seeds(), qt.Equals, 0)
+}
--- a/internal/control/platform/write.go
+++ b/internal/control/platform/write.go
@@ -34,7 +34,9 @@
 type state struct {
 	document *contract.Document
 	// index is the modification index of the contract's key, 0 without one.
-	index uint64
+	index    uint64
+	log      changeLog
+	logIndex uint64
 	// claims holds the owner of each port of the old and the new contract.
 	claims map[uint16]claim
 }
@@ -127,6 +129,16 @@
 
 func (ch *change) read(ctx context.Context) (state, error) {
 	held := state{claims: make(map[uint16]claim)}
+	// The change log comes first: a change that is written after this read then
+	// makes the transaction fail, whatever the other reads return.
+	log, _, err := ch.client.get(ctx, changeLogKey)
+	if err != nil {
+		return held, err
+	}
+	held.logIndex = log.ModifyIndex
+	if held.log, err = parseChangeLog(log.Value); err != nil {
+		ch.client.config.Report(err)
+	}
 	stored, ok, err := ch.client.get(ctx, contractPrefix+ch.customer)
 	if err != nil {
 		return held, err
@@ -151,10 +163,9 @@
 	return held, nil
 }
 
-// check reports why the change cannot be written to the state held. The
-// transaction depends on the index of the contract's key, which is never
-// deleted: once the revision is higher, an earlier transaction of this change
-// cannot take effect any more.
+// check reports why the change cannot be written to the state held. If the state
+// differs from that of an earlier attempt, another change was written, and a
+// transaction of that attempt that is still under way fails at the change log.
 func (ch *change) check(held state) error {
 	revision := revisionOf(held.document)
 	if ch.expected == nil {
@@ -177,9 +188,7 @@
 	}
 	for _, port := range ch.newPorts() {
 		if owner := held.claims[port].owner; owner != "" && owner != ch.customer {
-			// The owner may release the port before an earlier transaction
-			// arrives, which then takes effect.
-			return ch.final(&PortClaimedError{port: port, owner: owner})
+			return &PortClaimedError{port: port, owner: owner}
 		}
 	}
 	return nil
@@ -196,14 +205,22 @@
 	return err
 }
 
-// operations returns the transaction: the document at the index that was read,
-// claims of the new ports and the release of ports no longer used.
+// operations returns the transaction: the document and the change log at the
+// indices that were read, claims of the new ports and the release of ports no
+// longer used.
 func (ch *change) operations(held state) ([]operation, error) {
 	encoded, err := ch.proposed.Encode()
 	if err != nil {
 		return nil, err
 	}
-	operations := []operation{compareAndSet(contractPrefix+ch.customer, held.index, encoded)}
+	log, err := held.log.with(ch.customer).encode()
+	if err != nil {
+		return nil, err
+	}
+	operations := []operation{
+		compareAndSet(contractPrefix+ch.customer, held.index, encoded),
+		compareAndSet(changeLogKey, held.logIndex, log),
+	}
 	next := ch.newPorts()
 	for _, port := range next {
 		owner := held.claims[port]
--- a/internal/standin/platform/handler.go
+++ b/internal/standin/platform/handler.go
@@ -125,8 +125,12 @@
 	}
 }
 
-// awaitChange releases mu until something changes or the wait is over.
+// awaitChange releases mu until something changes or the wait is over. It fails
+// during an outage, including one that began after the call was admitted.
 func (s *Server) awaitChange(ctx context.Context, timeout <-chan time.Time) (expired bool, err error) {
+	if s.switches.Outage {
+		return false, errOutage
+	}
 	changed := s.changed
 	s.mu.Unlock()
 	select {
