commands: Write and read contracts, and show where they are in effect

Cause: operators need to write contracts without tuning any balancer. A conflict shows both documents. Status takes the answers of all balancers from a function in Dependencies, because the control client is written elsewhere; without it the command fails with a clear line. Ruled out: a retry after a conflict, because the operator has to merge. Conclusion: one txtar session passes: put, get, revise, conflict, lost response, status, delete, re-create, invalid input.

--- /dev/null
+++ b/internal/cli/commands/contract_put.go
@@ -0,0 +1,56 @@
+package commands
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/orioledyke/orioledyke/internal/control/contract"
+	"github.com/urfave/cli/v3"
+)
+
+func newContractPutCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "put",
+		Usage:     "check a contract and write it as the next revision",
+		ArgsUsage: "FILE",
+		Flags:     platformFlags(expectFlag()),
+		Action: func(ctx context.Context, command *cli.Command) error {
+			path, err := onlyArgument(command, "FILE")
+			if err != nil {
+				return err
+			}
+			next, err := loadContract(path)
+			if err != nil {
+				return err
+			}
+			client, err := newPlatformClient(command)
+			if err != nil {
+				return err
+			}
+			written, err := client.PutContract(ctx, next, expectedRevision(command))
+			return reportWrite(command, written, err)
+		},
+	}
+}
+
+// loadContract reads a contract. The error has one line for each fault, each with
+// the file and the key.
+func loadContract(path string) (contract.Contract, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return contract.Contract{}, err
+	}
+	parsed, err := contract.Parse(data)
+	var invalid *contract.InvalidError
+	if !errors.As(err, &invalid) {
+		return parsed, err
+	}
+	lines := make([]string, len(invalid.Faults()))
+	for i, f := range invalid.Faults() {
+		lines[i] = fmt.Sprintf("%s: %s", path, f)
+	}
+	return contract.Contract{}, errors.New(strings.Join(lines, "\n"))
+}
--- a/internal/cli/commands/root.go
+++ b/internal/cli/commands/root.go
@@ -4,17 +4,41 @@
 
 import (
 	"context"
+	"errors"
 	"io"
+	"net/netip"
 	"os"
 
+	"github.com/orioledyke/orioledyke/internal/common/keyring"
 	"github.com/urfave/cli/v3"
 )
 
 // Version is the version of the binary. The linker sets it for a release.
 var Version = "0.1.0-dev"
 
+// Dependencies are what commands need from other processes.
+type Dependencies struct {
+	// BalancerStatuses asks every balancer that the seed knows for the revisions
+	// in effect for a customer. A balancer that does not answer has an error in
+	// its entry.
+	BalancerStatuses func(ctx context.Context, seed netip.AddrPort, keys *keyring.Store, customer string) ([]BalancerStatus, error)
+}
+
+func defaultDependencies() Dependencies {
+	return Dependencies{
+		BalancerStatuses: func(context.Context, netip.AddrPort, *keyring.Store, string) ([]BalancerStatus, error) {
+			return nil, errors.New("the control client is not part of this version")
+		},
+	}
+}
+
 // Run executes the command line. It returns the exit code.
 func Run(ctx context.Context, arguments []string, stdout, stderr io.Writer) int {
+	return RunWith(ctx, defaultDependencies(), arguments, stdout, stderr)
+}
+
+// RunWith executes the command line with other dependencies.
+func RunWith(ctx context.Context, dependencies Dependencies, arguments []string, stdout, stderr io.Writer) int {
 	root := &cli.Command{
 		Name:                  "orioledyke",
 		Usage:                 "layer-4 load balancer",
@@ -25,6 +49,7 @@
 		ErrWriter:             stderr,
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
+			newContractCommand(dependencies),
 			newVersionCommand(),
 		},
 	}
