--- a/internal/balancer/node/node.go
+++ b/internal/balancer/node/node.go
@@ -131,7 +131,8 @@
 		},
 		Keys: n.keys, Clock: n.clock, Listener: listener, Seeds: n.seeds,
 		OnMembers: n.state.applyMembers, OnContract: n.state.applyContract, OnReader: n.reader.set,
-		Logger: n.logger,
+		InEffect: n.state.revision,
+		Logger:   n.logger,
 	})
 	if err != nil {
 		return err
--- a/internal/balancer/node/state.go
+++ b/internal/balancer/node/state.go
@@ -16,14 +16,15 @@
 type state struct {
 	forwarder *client.Forwarder
 	logger    *zap.Logger
-	contracts *contract.Store
 
 	mutex      sync.Mutex
+	contracts  *contract.Store
+	inEffect   map[string]uint64
 	portsError error
 }
 
 func newState(forwarder *client.Forwarder, logger *zap.Logger) *state {
-	return &state{forwarder: forwarder, logger: logger, contracts: contract.NewStore()}
+	return &state{forwarder: forwarder, logger: logger, contracts: contract.NewStore(), inEffect: map[string]uint64{}}
 }
 
 func (s *state) applyMembers(changed []membership.Record, removed []identity.OwnerID) {
@@ -47,11 +48,24 @@
 		s.logger.Error("contract-unreadable", zap.String("customer", customer), zap.Uint64("revision", revision), zap.Error(err))
 		return
 	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
 	if !s.contracts.Apply(d) {
 		return
 	}
 	s.logger.Info("contract-applied", zap.String("customer", customer), zap.Uint64("revision", d.Revision()), zap.Bool("deleted", d.Deleted()))
 	s.openServices()
+	if s.portsError == nil {
+		s.inEffect[customer] = d.Revision()
+	}
+}
+
+// revision returns the revision of a customer's contract whose services are all
+// open, or 0.
+func (s *state) revision(customer string) uint64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.inEffect[customer]
 }
 
 // openServices opens the service addresses of all contracts in effect. A port
@@ -70,8 +84,6 @@
 	if err != nil {
 		s.logger.Error("service-address-unavailable", zap.Error(err))
 	}
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
 	s.portsError = err
 }
 
--- a/internal/control/peer/balancer.go
+++ b/internal/control/peer/balancer.go
@@ -45,6 +45,9 @@
 	// OnReader is called when the balancer becomes or stops being a reader of
 	// the platform.
 	OnReader func(bool)
+	// InEffect returns the revision of a customer's contract that this process
+	// has in effect, which Status reports. Nil means the revision held.
+	InEffect func(customer string) uint64
 	Logger   *zap.Logger
 }
 
@@ -174,7 +177,13 @@
 func (b *Balancer) Status(_ context.Context, request *controlpb.StatusRequest) (*controlpb.StatusResponse, error) {
 	b.runtime.mu.Lock()
 	defer b.runtime.mu.Unlock()
-	return b.machine.Status(request.GetCustomer()), nil
+	response := b.machine.Status(request.GetCustomer())
+	if b.config.InEffect != nil {
+		for _, c := range response.GetContracts() {
+			c.Revision = b.config.InEffect(c.GetCustomer())
+		}
+	}
+	return response, nil
 }
 
 func (b *Balancer) heartbeat(now clock.Millis, id membership.StreamID, m proto.Message) membership.Actions {
--- a/internal/wire/tunnel/tunnel_test.go
+++ b/internal/wire/tunnel/tunnel_test.go
@@ -48,7 +48,9 @@
 			c.Check(len(datagram), qt.Equals, size+tunnel.Overhead)
 			got, content, err := tunnel.Open(ring, datagram)
 			c.Assert(err, qt.IsNil)
-			c.Check(got, qt.Equals, header(client))
+			want := header(client)
+			want.Sender = sender
+			c.Check(got, qt.Equals, want)
 			c.Check(content, qt.DeepEquals, payload)
 		}
 	}
