control: Watch balancers in a ring

Cause: with watchers by rendezvous hash, balancers that fail together can be watched only by each other, and nobody declares them dead. Change: a balancer is watched by the 2 balancers that follow it in a ring of its data centre. The last of a failed group has a running watcher; after it is declared dead, the one before has. Ruled out: letting every balancer of the data centre declare members that it never hears, because most members never connect to it.

--- a/internal/control/membership/rendezvous.go
+++ b/internal/control/membership/rendezvous.go
@@ -26,9 +26,20 @@
 // rank returns the best count of candidates: first the lower class, then the
 // higher score. A negative class excludes a candidate.
 func rank(key uint64, candidates []Record, count int, class func(Record) int) []Record {
+	return rankBy(candidates, count, class, func(r Record) uint64 { return score(key, r.ID()) })
+}
+
+// rankRing is rank with the order of a ring: candidates that follow the key most
+// closely come first.
+func rankRing(key identity.OwnerID, candidates []Record, count int, class func(Record) int) []Record {
+	at := score(0, key)
+	return rankBy(candidates, count, class, func(r Record) uint64 { return at - score(0, r.ID()) })
+}
+
+func rankBy(candidates []Record, count int, class func(Record) int, points func(Record) uint64) []Record {
 	best := make([]scored, 0, count+1)
 	for _, r := range candidates {
-		s := scored{record: r, class: class(r), score: score(key, r.ID())}
+		s := scored{record: r, class: class(r), score: points(r)}
 		if s.class < 0 {
 			continue
 		}
--- a/internal/control/membership/view.go
+++ b/internal/control/membership/view.go
@@ -82,8 +82,11 @@
 	return 0
 }
 
-// watchersOf returns the first count balancers that should watch a member: by
-// rendezvous hash, those in its own data centre first.
+// watchersOf returns the first count balancers that should watch a member, those
+// in its own data centre first. Sidecars are distributed by rendezvous hash.
+// Balancers form a ring: if several fail together, the next one that runs
+// declares the last of them dead, then the one before. By rendezvous hash three
+// balancers could watch only each other and never be declared dead.
 func (b *Balancer) watchersOf(r Record, count int) []Record {
 	candidates := b.view.byDataCentre[r.DataCentre()]
 	staying := 0
@@ -95,7 +98,11 @@
 	if staying < count {
 		candidates = b.view.balancers
 	}
-	return rank(uint64(r.ID()), candidates, count, func(c Record) int { return b.watcherClass(r, c) })
+	class := func(c Record) int { return b.watcherClass(r, c) }
+	if r.Role() == RoleBalancer {
+		return rankRing(r.ID(), candidates, count, class)
+	}
+	return rank(uint64(r.ID()), candidates, count, class)
 }
 
 func (b *Balancer) watcherClass(member, balancer Record) int {
@@ -111,6 +118,10 @@
 			class = 2
 		}
 	}
+	if member.Role() == RoleBalancer {
+		// The order of the ring must not depend on states.
+		return class
+	}
 	return class + 3*leavingLast(balancer)
 }
 
