--- a/internal/sidecar/client/path_test.go
+++ b/internal/sidecar/client/path_test.go
@@ -72,6 +72,13 @@
 }
 
 func startSidecar(ctx context.Context, c *qt.C, keys *keyring.Store, service identity.ServiceID, certificate *tls.Certificate) sidecar {
+	return startSidecarWith(ctx, c, keys, service, certificate, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		fmt.Fprintf(w, "%s %s", r.URL.Path, body)
+	}))
+}
+
+func startSidecarWith(ctx context.Context, c *qt.C, keys *keyring.Store, service identity.ServiceID, certificate *tls.Certificate, handler http.Handler) sidecar {
 	self := identity.NewOwnerID()
 	socket := listen(c)
 	conn := client.NewConn(ctx, client.ConnConfig{
@@ -83,10 +90,7 @@
 	server, err := client.NewServer(client.ServerConfig{
 		Conn: conn, Self: self, Service: service, Keys: keys,
 		Certificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return certificate, nil },
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			body, _ := io.ReadAll(r.Body)
-			fmt.Fprintf(w, "%s %s", r.URL.Path, body)
-		}),
+		Handler:     handler,
 	})
 	c.Assert(err, qt.IsNil)
 	go func() { _ = server.Serve(ctx) }()
--- a/internal/sidecar/client/server.go
+++ b/internal/sidecar/client/server.go
@@ -20,8 +20,10 @@
 const (
 	// idleTimeout ends a flow whose client is silent. Clients are phones that
 	// lose coverage for some seconds.
-	idleTimeout     = 30 * time.Second
-	keepAlivePeriod = 2 * time.Second
+	idleTimeout = 30 * time.Second
+	// keepAlivePeriod is well below the 30 s after which address translators on
+	// the way forget a silent flow.
+	keepAlivePeriod = 5 * time.Second
 	// packetSize leaves room for the tunnel header and a relayed address within
 	// an Ethernet frame.
 	packetSize = 1200
