--- a/internal/control/platform/changelog.go
+++ b/internal/control/platform/changelog.go
@@ -7,8 +7,8 @@
 
 const (
 	// changeLogKey holds the change log, which each write of a contract extends.
-	// Watching it instead of contracts/ keeps a watch at about 1 KB/s: the
-	// service answers a watch of a prefix with all its values each time.
+	// The service answers a watch of contracts/ with all values, 1.5 MB for 1,300
+	// services; a watch of the log takes 571 bytes a second while nothing changes.
 	changeLogKey = "contract-changes"
 	// changeLogLength is how many changes a watch may miss between two responses
 	// before it reads all contracts.
