--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := bin
 TOOLS := $(abspath $(BIN)/tools)
 
-.PHONY: all build tools lint format generate test demo bench
+.PHONY: all build tools lint format generate test demo bench capacity
 
 all: build
 
@@ -32,3 +32,13 @@
 
 bench:
 	$(GO) test -run '^$$' -bench 'Route|TableChange|Forward' ./internal/balancer/...
+
+# Measures the slopes of docs/CAPACITY.md.
+capacity:
+	$(GO) test -run '^$$' -bench Scale -benchtime 1000x ./internal/control/membership
+	$(GO) test -run '^$$' -bench 'Burst|Join' -benchtime 1x ./internal/control/membership
+	$(GO) test -run '^$$' -bench . ./internal/control/peer
+	$(GO) test -run '^$$' -bench Calls -benchtime 1x ./internal/control/platform
+	$(GO) test -run '^$$' -bench Services -benchtime 1x ./internal/balancer/client
+	$(GO) test -run '^$$' -bench Flows -benchtime 1x ./internal/sidecar/client
+	$(GO) test -run '^$$' -bench . ./internal/balancer/routing
