--- a/internal/sidecar/request/exchange.go
+++ b/internal/sidecar/request/exchange.go
@@ -113,7 +113,7 @@
 		if errors.Is(err, errClient) {
 			return
 		}
-		e.handler.config.Logger.Warn("response of the upstream broke off",
+		e.handler.config.Logger.Info("response-aborted",
 			zap.String("kind", e.kind.Name()), zap.Error(err))
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/sidecar/request/execute.go
+++ b/internal/sidecar/request/execute.go
@@ -57,7 +57,7 @@
 			return nil, f
 		}
 		e.handler.metrics.retries.Inc()
-		e.handler.config.Logger.Info("retrying a request",
+		e.handler.config.Logger.Info("request-retried",
 			zap.String("kind", e.kind.Name()), zap.Bool("may-have-run", f.mayHaveRun), zap.Error(f.cause))
 	}
 }
@@ -206,7 +206,7 @@
 	response, err := h.config.Links.Do(ctx, to, origin, r)
 	if err != nil {
 		h.metrics.handOffs.WithLabelValues(string(origin.Hop), "failed").Inc()
-		h.config.Logger.Warn("sibling did not answer a request", zap.String("hop", string(origin.Hop)),
+		h.config.Logger.Warn("sibling-unanswered", zap.String("hop", string(origin.Hop)),
 			zap.Stringer("owner", to.Owner), zap.Error(err))
 		span.SetStatus(codes.Error, err.Error())
 		span.End()
--- a/internal/sidecar/request/tickets.go
+++ b/internal/sidecar/request/tickets.go
@@ -212,7 +212,7 @@
 
 func (e *exchange) recordUnknown(token ticket.Ticket, f *failure) {
 	e.outcome = outcomeUnknown
-	e.handler.config.Logger.Warn("outcome of a request is unknown", zap.String("kind", e.kind.Name()), zap.Error(f.cause))
+	e.handler.config.Logger.Warn("request-outcome-unknown", zap.String("kind", e.kind.Name()), zap.Error(f.cause))
 	response := f.problem().response()
 	e.handler.tickets.complete(token, &response)
 	writeResponse(e.w, response)
