membership: Measure how fast a contract spreads

Cause: a contract must be in effect everywhere within 4 s at 500 nodes. Change: a benchmark runs 50 to 500 balancer state machines on the fake network in virtual time.

--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 # Measures the slopes of docs/CAPACITY.md.
 capacity:
 	$(GO) test -run '^$$' -bench Scale -benchtime 1000x ./internal/control/membership
-	$(GO) test -run '^$$' -bench 'Burst|Join' -benchtime 1x ./internal/control/membership
+	$(GO) test -run '^$$' -bench 'Burst|Join|Spread' -benchtime 1x ./internal/control/membership
 	$(GO) test -run '^$$' -bench . ./internal/control/peer
 	$(GO) test -run '^$$' -bench Calls -benchtime 1x ./internal/control/platform
 	$(GO) test -run '^$$' -bench Services -benchtime 1x ./internal/balancer/client
