standin: Report what an outside judge needs

Cause: the judge of real failures must know which upstream got foreign or late work, which boards were open where, and what became of each booking. Change: upstreams serve /admin/activity; clients add bookings, broken boards and the errors of lost answers to the final report. /admin/runs is unchanged.

--- a/internal/standin/client/counts.go
+++ b/internal/standin/client/counts.go
@@ -38,11 +38,23 @@
 	Repeats  int `json:"repeats"`
 }
 
+// Booking is what became of one booking. Its refusals are answers "not run".
+type Booking struct {
+	Number   uint64 `json:"number"`
+	Result   Result `json:"result"`
+	Refusals int    `json:"refusals,omitempty"`
+}
+
 // Report holds the counts of every kind since the start.
 type Report struct {
 	Elapsed clock.Millis      `json:"elapsed-ms"`
 	Final   bool              `json:"final"`
 	Kinds   map[string]Counts `json:"kinds"`
+	// Bookings and BrokenBoards are in the final report only.
+	Bookings     []Booking `json:"bookings,omitempty"`
+	BrokenBoards []uint64  `json:"broken-boards,omitempty"`
+	// Reasons counts lost answers by their error.
+	Reasons map[string]int `json:"reasons,omitempty"`
 }
 
 // Total returns the sum over all kinds.
--- a/internal/standin/client/exchange.go
+++ b/internal/standin/client/exchange.go
@@ -98,12 +98,12 @@
 	defer cancel()
 	response, err := l.open(ctx, transport, r, ticket)
 	if err != nil {
-		return answer{lost: true}
+		return l.lost(r.kind, err)
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(response.Body, answerLimit))
 	if err != nil {
-		return answer{lost: true}
+		return l.lost(r.kind, err)
 	}
 	a := parseHeader(response)
 	if a.status != http.StatusOK {
@@ -111,7 +111,7 @@
 	}
 	var m message
 	if err := json.Unmarshal(body, &m); err != nil {
-		return answer{lost: true}
+		return l.lost(r.kind, err)
 	}
 	a.service, a.number = m.Service, m.Number
 	return a
@@ -168,7 +168,7 @@
 	result := l.attempts(ctx, r, f, func(ticket string) answer {
 		response, err := l.openWithin(ctx, f.transport, r, ticket)
 		if err != nil {
-			return answer{lost: true}
+			return l.lost(r.kind, err)
 		}
 		a := parseHeader(response)
 		if a.status == http.StatusOK {
--- a/internal/standin/client/load.go
+++ b/internal/standin/client/load.go
@@ -78,6 +78,10 @@
 	mutex   sync.Mutex
 	counts  map[string]*Counts
 	numbers uint64
+	// bookings, broken and reasons are details of the final report.
+	bookings []Booking
+	broken   []uint64
+	reasons  map[string]int
 }
 
 // Run generates load until the duration is over and the requests in progress
@@ -86,7 +90,7 @@
 	if err := config.check(); err != nil {
 		return Report{}, err
 	}
-	l := &load{config: config, clock: clock.System(), counts: map[string]*Counts{}, numbers: config.FirstNumber}
+	l := &load{config: config, clock: clock.System(), counts: map[string]*Counts{}, numbers: config.FirstNumber, reasons: map[string]int{}}
 	for range sharedFlows {
 		l.shared = append(l.shared, l.newTransport())
 	}
@@ -116,6 +120,9 @@
 	l.reportUntil(finished)
 	report := l.report()
 	report.Final = true
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	report.Bookings, report.BrokenBoards, report.Reasons = l.bookings, l.broken, l.reasons
 	return report, nil
 }
 
@@ -208,6 +215,20 @@
 	counts.add(result)
 	counts.Refusals += r.refusals
 	counts.Repeats += r.lost
+	if k == booking {
+		l.bookings = append(l.bookings, Booking{Number: r.number, Result: result, Refusals: r.refusals})
+	}
+	if result == BrokenFlow {
+		l.broken = append(l.broken, r.number)
+	}
+}
+
+// lost counts an attempt without an answer under its error.
+func (l *load) lost(k kind, err error) answer {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.reasons[k.name+": "+err.Error()]++
+	return answer{lost: true}
 }
 
 func (l *load) countsOf(k kind) *Counts {
--- a/internal/standin/upstream/server.go
+++ b/internal/standin/upstream/server.go
@@ -78,6 +78,22 @@
 	Shed    int            `json:"shed"`
 }
 
+// Activity is the body of GET /admin/activity: what an outside judge needs to
+// know about the work that reached the upstream.
+type Activity struct {
+	Service string `json:"service"`
+	// Foreign counts requests with a path of another service.
+	Foreign int `json:"foreign"`
+	// Interrupted counts requests in progress that their caller cancelled.
+	Interrupted int `json:"interrupted"`
+	// Arrivals counts new work, also work that was shed.
+	Arrivals int `json:"arrivals"`
+	// ArrivalAge is the time since the last new work, or negative without any.
+	ArrivalAge clock.Millis `json:"arrival-age-ms"`
+	// OpenBoards are the numbers of the boards that are open.
+	OpenBoards []uint64 `json:"open-boards"`
+}
+
 // Server answers the requests of one service. It is an http.Handler.
 type Server struct {
 	config Config
@@ -107,6 +123,8 @@
 	s.mux.HandleFunc("GET /health", s.health)
 	s.mux.HandleFunc("GET /admin/ready", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	s.mux.HandleFunc("GET /admin/runs", s.runs)
+	s.mux.HandleFunc("GET /admin/activity", s.activity)
+	s.mux.HandleFunc("/", s.foreign)
 	s.mux.HandleFunc("PUT /admin/drain", func(w http.ResponseWriter, _ *http.Request) { s.drain(w, true) })
 	s.mux.HandleFunc("DELETE /admin/drain", func(w http.ResponseWriter, _ *http.Request) { s.drain(w, false) })
 	return s, nil
@@ -152,6 +170,7 @@
 	var taken bool
 	var serviceTime clock.Millis
 	s.locked(func(st *state, now clock.Millis) {
+		st.arrived(now)
 		if taken = st.take(now); !taken {
 			return
 		}
@@ -168,6 +187,9 @@
 	}
 	defer s.locked(func(st *state, _ clock.Millis) { st.release() })
 	if err := s.config.Sleep(ctx, serviceTime); err != nil {
+		if r.Context().Err() != nil {
+			s.locked(func(st *state, _ clock.Millis) { st.interrupted++ })
+		}
 		http.Error(w, "cancelled or past the deadline", http.StatusGatewayTimeout)
 		return
 	}
@@ -204,11 +226,17 @@
 		return
 	}
 	var accepted bool
-	s.locked(func(st *state, now clock.Millis) { accepted = st.accepts(now) })
+	s.locked(func(st *state, now clock.Millis) {
+		st.arrived(now)
+		if accepted = st.accepts(now); accepted {
+			st.boards[number]++
+		}
+	})
 	if !accepted {
 		shed(w)
 		return
 	}
+	defer s.locked(func(st *state, _ clock.Millis) { st.closeBoard(number) })
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
 	for sequence := uint64(1); ; sequence++ {
@@ -245,6 +273,17 @@
 	})
 }
 
+func (s *Server) activity(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	s.locked(func(st *state, now clock.Millis) { _ = json.NewEncoder(w).Encode(st.activity(now)) })
+}
+
+// foreign counts a request that only another service understands.
+func (s *Server) foreign(w http.ResponseWriter, r *http.Request) {
+	s.locked(func(st *state, _ clock.Millis) { st.foreign++ })
+	http.NotFound(w, r)
+}
+
 func (s *Server) drain(w http.ResponseWriter, on bool) {
 	s.locked(func(st *state, now clock.Millis) { st.setDraining(on, now) })
 	w.WriteHeader(http.StatusNoContent)
--- a/internal/standin/upstream/state.go
+++ b/internal/standin/upstream/state.go
@@ -1,7 +1,9 @@
 package upstream
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 
 	"github.com/orioledyke/orioledyke/internal/common/clock"
 )
@@ -30,6 +32,12 @@
 	health       []healthChange
 	runs         map[uint64]int
 	shed         int
+	foreign      int
+	interrupted  int
+	arrivals     int
+	lastArrival  clock.Millis
+	// boards counts the open boards of each number.
+	boards map[uint64]int
 }
 
 type healthChange struct {
@@ -41,6 +49,7 @@
 	return &state{
 		config: config, random: rand.New(rand.NewPCG(config.Seed, 0)), started: now,
 		health: []healthChange{{status: serving}}, runs: map[uint64]int{},
+		boards: map[uint64]int{},
 	}
 }
 
@@ -64,6 +73,29 @@
 // ran counts one run of a booking.
 func (s *state) ran(number uint64) { s.runs[number]++ }
 
+// arrived counts new work.
+func (s *state) arrived(now clock.Millis) {
+	s.arrivals++
+	s.lastArrival = now
+}
+
+func (s *state) closeBoard(number uint64) {
+	if s.boards[number]--; s.boards[number] == 0 {
+		delete(s.boards, number)
+	}
+}
+
+func (s *state) activity(now clock.Millis) Activity {
+	a := Activity{
+		Service: s.config.Service, Foreign: s.foreign, Interrupted: s.interrupted, Arrivals: s.arrivals,
+		ArrivalAge: -1, OpenBoards: slices.Sorted(maps.Keys(s.boards)),
+	}
+	if s.arrivals > 0 {
+		a.ArrivalAge = now - s.lastArrival
+	}
+	return a
+}
+
 // setDraining starts or ends the drain.
 func (s *state) setDraining(on bool, now clock.Millis) {
 	if on == s.draining {
--- a/internal/standin/upstream/upstream_test.go
+++ b/internal/standin/upstream/upstream_test.go
@@ -139,3 +139,28 @@
 	c.Check(recorder.Code, qt.Equals, http.StatusGatewayTimeout)
 	c.Check(s.state.inUse, qt.Equals, 0)
 }
+
+// TestActivityTellsWhatReachedTheUpstream guards against a judge that misses
+// work of another service, work after a departure, or interrupted requests.
+func TestActivityTellsWhatReachedTheUpstream(t *testing.T) {
+	c := qt.New(t)
+	var manual clock.Manual
+	config := testConfig(manual.Clock())
+	ctx, cancel := context.WithCancel(context.Background())
+	config.Sleep = func(ctx context.Context, _ clock.Millis) error {
+		cancel()
+		return ctx.Err()
+	}
+	s, err := New(config)
+	c.Assert(err, qt.IsNil)
+	activity := func() string { return strings.TrimSpace(send(s, "GET", "/admin/activity", "").Body.String()) }
+	c.Check(activity(), qt.Equals,
+		`{"service":"grower-portal","foreign":0,"interrupted":0,"arrivals":0,"arrival-age-ms":-1,"open-boards":null}`)
+	request := httptest.NewRequest("POST", "/bookings", strings.NewReader(`{"number":1}`)).WithContext(ctx)
+	s.ServeHTTP(httptest.NewRecorder(), request)
+	c.Check(send(s, "POST", "/weigh-ins", `{"number":2}`).Code, qt.Equals, http.StatusNotFound)
+	s.state.boards[4] = 1
+	manual.Advance(300)
+	c.Check(activity(), qt.Equals,
+		`{"service":"grower-portal","foreign":1,"interrupted":1,"arrivals":1,"arrival-age-ms":300,"open-boards":[4]}`)
+}
