--- a/internal/standin/demo/files.go
+++ b/internal/standin/demo/files.go
@@ -11,6 +11,7 @@
 	"math/big"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/goccy/go-yaml"
@@ -111,7 +112,7 @@
 			return err
 		}
 	}
-	for _, u := range l.upstreams {
+	for _, u := range slices.Concat(l.upstreams, l.spares, []upstreamHost{l.reused}) {
 		if err := f.writeYAML(f.settings(u.host), f.sidecarSettings(l, u)); err != nil {
 			return err
 		}
--- a/internal/standin/demo/layout.go
+++ b/internal/standin/demo/layout.go
@@ -23,6 +23,9 @@
 	sidecarNetwork     = 2
 	fabricHost         = 2
 	firstHostOfNetwork = 1
+	// reusedIndex is a grower-portal upstream whose sidecar's addresses pass to
+	// weighbridge.
+	reusedIndex = 3
 )
 
 var dataCentres = []string{"hr-east-a", "hr-east-b", "hr-east-c"}
@@ -58,6 +61,12 @@
 	weighbridge  uint16
 	balancers    []host
 	upstreams    []upstreamHost
+	// spares are second sidecars beside the same upstreams, for replacements
+	// while the first ones still let their streams end.
+	spares []upstreamHost
+	// reused has the addresses of the sidecar of reusedIndex but serves another
+	// service.
+	reused upstreamHost
 }
 
 func loopback(network, number byte) netip.Addr {
@@ -87,6 +96,14 @@
 		h := ports.host(fmt.Sprintf("%s-%d", service, number+1), i, loopback(sidecarNetwork, byte(firstHostOfNetwork+i)))
 		l.upstreams = append(l.upstreams, upstreamHost{host: h, service: service, upstream: ports.find(h.address)})
 	}
+	for i, u := range l.upstreams {
+		spare := u
+		spare.host = ports.host(u.name+"-spare", i, u.address)
+		l.spares = append(l.spares, spare)
+	}
+	l.reused = l.upstreams[reusedIndex]
+	l.reused.name, l.reused.service = "reused", upstream.Weighbridge
+	l.reused.upstream = ports.find(l.reused.address)
 	return l, ports.err
 }
 
