demo: Prove the invariants under failures of real processes

Cause: the demo kills one balancer and stops one sidecar; the other failures of section 2 of the design had no run with separate processes. Change: 'orioledyke-demo prove' and 'make prove' run six rounds of load and failures and print one row for each invariant. Bounds come from the design: 3 s for a leaving upstream, 4 s for a contract, 35 s for a graceful stop.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := bin
 TOOLS := $(abspath $(BIN)/tools)
 
-.PHONY: all build tools lint format generate test demo bench
+.PHONY: all build tools lint format generate test demo prove bench
 
 all: build
 
@@ -30,5 +30,8 @@
 demo: build
 	$(BIN)/orioledyke-demo
 
+prove: build
+	$(BIN)/orioledyke-demo prove
+
 bench:
 	$(GO) test -run '^$$' -bench 'Route|TableChange|Forward' ./internal/balancer/...
--- a/internal/standin/demo/command.go
+++ b/internal/standin/demo/command.go
@@ -47,6 +47,7 @@
 			&cli.Uint64Flag{Name: "seed", Usage: "`SEED` of load, service times and faults", Value: 1},
 			&cli.FloatFlag{Name: "loss", Usage: "`RATE` of datagrams that the fabric loses, from 0 to 1"},
 		},
+		Commands: []*cli.Command{newProveCommand()},
 		Action: func(ctx context.Context, command *cli.Command) error {
 			if command.Args().Present() {
 				return fmt.Errorf("want no arguments, got %q", command.Args().First())
@@ -67,3 +68,28 @@
 		},
 	}
 }
+
+func newProveCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "prove",
+		Usage: "run the system through failures and judge each invariant",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "out", Usage: "`DIRECTORY` of the logs", Value: "out"},
+			&cli.Uint64Flag{Name: "seed", Usage: "`SEED` of load, service times and faults", Value: 1},
+			&cli.StringFlag{Name: "only", Usage: "run the round `NAME` alone; invariants that it does not try fail"},
+		},
+		Action: func(ctx context.Context, command *cli.Command) error {
+			if command.Args().Present() {
+				return fmt.Errorf("want no arguments, got %q", command.Args().First())
+			}
+			executable, err := os.Executable()
+			if err != nil {
+				return err
+			}
+			return Prove(ctx, ProveConfig{
+				Binaries: filepath.Dir(executable), Out: command.String("out"), Seed: command.Uint64("seed"),
+				Only: command.String("only"), Output: command.Root().Writer,
+			})
+		},
+	}
+}
