sibling: Take departures from the membership too

Cause: load messages go to 4 partners, which change with every member that joins. A sibling that was a partner, and left after it ceased to be one, stayed in the loads as not leaving for up to 3.5 s. As it empties it has the fewest flows, so it got new flows and closed each at once. Change: a sibling carries what the membership says; leaving counts if either the membership or the last load message says so. Red before: TestMembershipTellsDepartures. Ruled out: sending load to former partners, which exceeds the control budget during a rolling restart.

--- a/internal/sidecar/sibling/exchange.go
+++ b/internal/sidecar/sibling/exchange.go
@@ -25,6 +25,9 @@
 	Owner   identity.OwnerID
 	Tunnel  netip.AddrPort
 	Control netip.AddrPort
+	// Leaving is what the membership says. A load message may say less: a sibling
+	// that is no longer a partner does not tell that it leaves.
+	Leaving bool
 }
 
 // Exchange decides when load messages are sent and keeps those received. It is
@@ -147,9 +150,14 @@
 	defer e.mutex.Unlock()
 	loads := map[identity.OwnerID]Load{}
 	for owner, r := range e.loads {
-		if now-r.at < loadRetention {
-			loads[owner] = r.load
+		if now-r.at >= loadRetention {
+			continue
+		}
+		load := r.load
+		if s, ok := e.find(owner); ok && s.Leaving {
+			load.Leaving = true
 		}
+		loads[owner] = load
 	}
 	return loads
 }
@@ -163,7 +171,7 @@
 	for _, s := range e.siblings {
 		r, ok := e.loads[s.Owner]
 		free := r.load.Slots - r.load.InUse - r.load.Queued - r.lent
-		if !ok || r.load.Leaving || now-r.at >= loadRetention {
+		if !ok || s.Leaving || r.load.Leaving || now-r.at >= loadRetention {
 			continue
 		}
 		if free > most {
--- a/internal/sidecar/sibling/exchange_test.go
+++ b/internal/sidecar/sibling/exchange_test.go
@@ -83,6 +83,20 @@
 	c.Assert(e.Loads(3600), qt.HasLen, 0)
 }
 
+// TestMembershipTellsDepartures guards against new flows and requests that go to
+// a sibling whose last load message is older than its departure. A sibling that
+// empties has the fewest flows, so it would get all of them.
+func TestMembershipTellsDepartures(t *testing.T) {
+	c := qt.New(t)
+	e := sibling.NewExchange(sibling.ExchangeConfig{Self: 9})
+	e.SetSiblings(ring(1))
+	e.Receive(1, sibling.Load{Slots: 3}.Encode(), 0)
+	e.SetSiblings([]sibling.Sibling{{Owner: 1, Leaving: true}})
+	c.Check(e.Loads(0)[1].Leaving, qt.IsTrue)
+	_, ok := e.Free(0)
+	c.Check(ok, qt.IsFalse)
+}
+
 // FuzzParseLoad guards against messages that are misread or change when they are
 // encoded again.
 func FuzzParseLoad(f *testing.F) {
