sidecar: Start without a server while the load is asked for

Cause: the handler asks for its load every 20 ms from its creation, and the load counts the flows of a server that is made afterwards. Change: the server is an atomic pointer; without one there are no flows. Siblings get the departures that the membership tells. Ruled out: making the server first, because it needs the handler. Conclusion: the start-up order no longer depends on timing.

--- a/internal/sidecar/node/metrics.go
+++ b/internal/sidecar/node/metrics.go
@@ -27,5 +27,5 @@
 	}
 	n.telemetry.Registry().MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: metricsPrefix + "flows", Help: "Open flows.",
-	}, func() float64 { return float64(n.server.Flows()) }))
+	}, func() float64 { return float64(n.flows()) }))
 }
--- a/internal/sidecar/node/node.go
+++ b/internal/sidecar/node/node.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"net/url"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/orioledyke/orioledyke/internal/common/certificate"
@@ -53,14 +54,16 @@
 	clock       clock.Clock
 	platform    *platform.Client
 	conn        *client.Conn
-	server      *client.Server
-	upstream    *upstream.Client
-	exchange    *sibling.Exchange
-	handoff     *sibling.Server
-	handler     *request.Handler
-	contract    *serviceContract
-	peer        *peer.Sidecar
-	tree        *supervisor.Tree
+	// server is nil until the handler, which asks for the number of flows from
+	// then on, has been made.
+	server   atomic.Pointer[client.Server]
+	upstream *upstream.Client
+	exchange *sibling.Exchange
+	handoff  *sibling.Server
+	handler  *request.Handler
+	contract *serviceContract
+	peer     *peer.Sidecar
+	tree     *supervisor.Tree
 }
 
 // Run runs a sidecar until stop ends, and then lets its requests and streams
@@ -189,7 +192,7 @@
 	n.handler = request.NewHandler(ctx, request.Config{
 		Self: n.self, Service: n.contract.service(), Keys: n.keys, Clock: n.clock, Random: rand.Float64,
 		Upstream: n.upstream, Siblings: n.exchange, Links: sibling.NewClient(ctx, n.keys),
-		Flows: func() int { return n.server.Flows() }, Logger: n.logger, Metrics: n.telemetry.Registry(),
+		Flows: n.flows, Logger: n.logger, Metrics: n.telemetry.Registry(),
 	})
 	listener, err := net.Listen("tcp", n.settings.ControlAddress.String())
 	if err != nil {
@@ -201,17 +204,26 @@
 }
 
 func (n *node) startServer() error {
-	var err error
-	if n.server, err = client.NewServer(client.ServerConfig{
+	server, err := client.NewServer(client.ServerConfig{
 		Conn: n.conn, Self: n.self, Service: n.service, Keys: n.keys,
 		Certificate: n.certificate.GetCertificate, Handler: telemetry.Hop(tracerName, "balancer", n.balancerOf, n.handler),
-	}); err != nil {
+	})
+	if err != nil {
 		return err
 	}
-	n.tree.Add("clients", n.server.Serve)
+	n.server.Store(server)
+	n.tree.Add("clients", server.Serve)
 	return nil
 }
 
+// flows returns the number of open flows, also before there is a server.
+func (n *node) flows() int {
+	if server := n.server.Load(); server != nil {
+		return server.Flows()
+	}
+	return 0
+}
+
 // balancerOf tells which balancer a request came through. The balancer cannot
 // record a span itself, because it sees only encrypted packets.
 func (n *node) balancerOf(r *http.Request) []attribute.KeyValue {
@@ -251,7 +263,7 @@
 func (n *node) applySiblings(records []membership.Record) {
 	siblings := make([]sibling.Sibling, len(records))
 	for i, r := range records {
-		siblings[i] = sibling.Sibling{Owner: r.ID(), Tunnel: r.Tunnel(), Control: r.Control()}
+		siblings[i] = sibling.Sibling{Owner: r.ID(), Tunnel: r.Tunnel(), Control: r.Control(), Leaving: r.State() == membership.StateLeaving}
 	}
 	n.handler.SetSiblings(siblings)
 }
@@ -321,10 +333,10 @@
 		return
 	case <-stop.Done():
 	}
-	n.logger.Info("draining", zap.Int("flows", n.server.Flows()))
+	n.logger.Info("draining", zap.Int("flows", n.flows()))
 	n.handler.Leave()
 	// The error tells that clients kept flows without a request, which Close ends.
-	go func() { _ = n.server.Shutdown(ctx) }()
+	go func() { _ = n.server.Load().Shutdown(ctx) }()
 	settled := time.NewTimer(goAwayTime)
 	defer settled.Stop()
 	select {
@@ -334,7 +346,7 @@
 	if err := n.handler.Drain(ctx); err != nil {
 		n.logger.Warn("drain-incomplete", zap.Error(err))
 	}
-	if err := n.server.Close(); err != nil {
+	if err := n.server.Load().Close(); err != nil {
 		n.logger.Warn("drain-incomplete", zap.Error(err))
 	}
 }
