sidecar: Pass new flows to siblings of unknown load when leaving

Cause: a sidecar hears the load of 4 siblings only. While every sidecar of a service is replaced these four may all leave, and then a leaving sidecar kept new flows and closed them at once, against 'a leaving sidecar immediately passes on every new flow'. Change: siblings that the membership knows but that sent no load are given to the placement as unheard, which uses them only when leaving and without another one. Red before: TestLeavingPassesToUnheardSibling (the flow stayed; siblings without load were not given to the placement). Ruled out: treating an unheard sibling as idle, which would draw flows to it. Conclusion: covered by unit tests of placement and exchange.

--- a/internal/sidecar/client/dispatch_test.go
+++ b/internal/sidecar/client/dispatch_test.go
@@ -77,6 +77,19 @@
 	c.Check(p.Decide([]byte("two"), Load{Flows: 100}, map[identity.OwnerID]Load{testSibling: {Leaving: true}}, 0), qt.Equals, testSelf)
 }
 
+// TestLeavingPassesToUnheardSibling guards against a leaving sidecar that keeps
+// new flows because all siblings whose load it knows leave too, as in a restart of
+// every sidecar. Without need, a sibling of unknown load gets nothing.
+func TestLeavingPassesToUnheardSibling(t *testing.T) {
+	c := qt.New(t)
+	p := NewPlacement(testSelf)
+	unheard := map[identity.OwnerID]Load{testSibling: {Unheard: true}, testSibling + 1: {Leaving: true}}
+	c.Check(p.Decide([]byte("one"), Load{Flows: 100}, unheard, 0), qt.Equals, testSelf)
+	c.Check(p.Decide([]byte("two"), Load{Leaving: true}, unheard, 0), qt.Equals, testSibling)
+	unheard[testSibling+2] = Load{Flows: 900}
+	c.Check(p.Decide([]byte("three"), Load{Leaving: true}, unheard, 0), qt.Equals, testSibling+2)
+}
+
 // TestPlacementMemoryIsBounded guards against a flood of first packets that
 // takes memory without limit, and against memory that is never given back.
 func TestPlacementMemoryIsBounded(t *testing.T) {
--- a/internal/sidecar/client/placement.go
+++ b/internal/sidecar/client/placement.go
@@ -20,6 +20,9 @@
 type Load struct {
 	Leaving bool
 	Flows   int
+	// Unheard is true for a sibling without a recent load message: only some
+	// siblings exchange loads.
+	Unheard bool
 }
 
 // Placement decides which sidecar of a service takes a new flow. It is not safe
@@ -58,15 +61,9 @@
 }
 
 func (p *Placement) choose(own Load, siblings map[identity.OwnerID]Load) identity.OwnerID {
-	var best identity.OwnerID
-	bestFlows := 0
-	for owner, load := range siblings {
-		if load.Leaving {
-			continue
-		}
-		if best == 0 || load.Flows < bestFlows || load.Flows == bestFlows && owner < best {
-			best, bestFlows = owner, load.Flows
-		}
+	best, bestFlows := fewestFlows(siblings, false)
+	if best == 0 && own.Leaving {
+		best, _ = fewestFlows(siblings, true)
 	}
 	if best == 0 {
 		return p.self
@@ -77,6 +74,20 @@
 	return p.self
 }
 
+// fewestFlows returns the sibling with the fewest flows, of those that serve and
+// are unheard or not. It returns 0 if there is none.
+func fewestFlows(siblings map[identity.OwnerID]Load, unheard bool) (best identity.OwnerID, flows int) {
+	for owner, load := range siblings {
+		if load.Leaving || load.Unheard != unheard {
+			continue
+		}
+		if best == 0 || load.Flows < flows || load.Flows == flows && owner < best {
+			best, flows = owner, load.Flows
+		}
+	}
+	return best, flows
+}
+
 // expire drops handshakes in the order in which they began, which is also the
 // order in which they end.
 func (p *Placement) expire(now clock.Millis) {
--- a/internal/sidecar/node/node.go
+++ b/internal/sidecar/node/node.go
@@ -172,9 +172,13 @@
 
 func (n *node) siblingLoads() map[identity.OwnerID]client.Load {
 	loads := map[identity.OwnerID]client.Load{}
-	for owner, load := range n.exchange.Loads(n.clock.Now()) {
+	now := n.clock.Now()
+	for owner, load := range n.exchange.Loads(now) {
 		loads[owner] = client.Load{Leaving: load.Leaving, Flows: load.Flows}
 	}
+	for _, owner := range n.exchange.Unheard(now) {
+		loads[owner] = client.Load{Unheard: true}
+	}
 	return loads
 }
 
--- a/internal/sidecar/sibling/exchange.go
+++ b/internal/sidecar/sibling/exchange.go
@@ -162,6 +162,20 @@
 	return loads
 }
 
+// Unheard returns the siblings that serve but have sent no load recently.
+func (e *Exchange) Unheard(now clock.Millis) []identity.OwnerID {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	var unheard []identity.OwnerID
+	for _, s := range e.siblings {
+		r, ok := e.loads[s.Owner]
+		if !s.Leaving && (!ok || now-r.at >= loadRetention) {
+			unheard = append(unheard, s.Owner)
+		}
+	}
+	return unheard
+}
+
 // Free returns the sibling with the most free slots. It reports false if none has
 // one.
 func (e *Exchange) Free(now clock.Millis) (Sibling, bool) {
--- a/internal/sidecar/sibling/exchange_test.go
+++ b/internal/sidecar/sibling/exchange_test.go
@@ -97,6 +97,17 @@
 	c.Check(ok, qt.IsFalse)
 }
 
+// TestUnheard guards against a sibling that serves but is not known to a leaving
+// sidecar because it is no partner.
+func TestUnheard(t *testing.T) {
+	c := qt.New(t)
+	e := sibling.NewExchange(sibling.ExchangeConfig{Self: 9})
+	e.SetSiblings([]sibling.Sibling{{Owner: 1}, {Owner: 2}, {Owner: 3, Leaving: true}})
+	e.Receive(1, sibling.Load{}.Encode(), 0)
+	c.Check(e.Unheard(0), qt.DeepEquals, []identity.OwnerID{2})
+	c.Check(e.Unheard(3500), qt.DeepEquals, []identity.OwnerID{1, 2})
+}
+
 // FuzzParseLoad guards against messages that are misread or change when they are
 // encoded again.
 func FuzzParseLoad(f *testing.F) {
