demo: Judge interruptions by flows that had answered

Cause: an attempt lost on a new flow cannot have been in progress, one on a flow that had answered may have been; invariant 7 needs the difference. Change: clients count lost answers of such flows, without rejected requests; the row of invariant 7 fails on each in a round of planned changes.

--- a/internal/standin/client/counts.go
+++ b/internal/standin/client/counts.go
@@ -36,6 +36,9 @@
 	// were lost. They are no results.
 	Refusals int `json:"refusals"`
 	Repeats  int `json:"repeats"`
+	// Interrupted counts those lost answers whose flow had answered before, so
+	// that the request may have been in progress.
+	Interrupted int `json:"interrupted,omitempty"`
 }
 
 // Booking is what became of one booking. Its refusals are answers "not run".
@@ -70,6 +73,7 @@
 		total.BrokenFlows += k.BrokenFlows
 		total.Refusals += k.Refusals
 		total.Repeats += k.Repeats
+		total.Interrupted += k.Interrupted
 	}
 	return total
 }
--- a/internal/standin/client/counts_test.go
+++ b/internal/standin/client/counts_test.go
@@ -1,11 +1,14 @@
 package client
 
 import (
+	"context"
+	"errors"
 	"math/rand/v2"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/quic-go/quic-go/http3"
 )
 
 var (
@@ -149,3 +152,22 @@
 	c.Check(count > 4800 && count < 5200, qt.IsTrue, qt.Commentf("%d arrivals", count))
 	c.Check(arrivals(nil, 0, clock.Second), qt.HasLen, 0)
 }
+
+// TestOnlyAnsweredFlowsAreInterrupted guards against a lost answer that counts as
+// an interruption although the request cannot have been in progress, and against
+// one that does not count although it may have been.
+func TestOnlyAnsweredFlowsAreInterrupted(t *testing.T) {
+	c := qt.New(t)
+	l := &load{counts: map[string]*Counts{}, reasons: map[string]int{}, answered: map[*http3.Transport]bool{}}
+	known, fresh := &http3.Transport{}, &http3.Transport{}
+	l.heard(known)
+	closed := errors.New("closed")
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	l.lost(context.Background(), bookingKind, fresh, closed)
+	l.lost(context.Background(), bookingKind, known, &http3.Error{ErrorCode: http3.ErrCodeRequestRejected})
+	l.lost(ended, bookingKind, known, closed)
+	c.Check(l.countsOf(bookingKind).Interrupted, qt.Equals, 0)
+	c.Check(l.lost(context.Background(), bookingKind, known, closed), qt.Equals, answer{lost: true})
+	c.Check(l.countsOf(bookingKind).Interrupted, qt.Equals, 1)
+}
--- a/internal/standin/client/exchange.go
+++ b/internal/standin/client/exchange.go
@@ -94,24 +94,25 @@
 
 // exchange sends one attempt and reads its whole answer.
 func (l *load) exchange(ctx context.Context, transport *http3.Transport, r *request, ticket string) answer {
-	ctx, cancel := context.WithTimeout(ctx, l.config.AnswerTimeout.Duration())
+	limited, cancel := context.WithTimeout(ctx, l.config.AnswerTimeout.Duration())
 	defer cancel()
-	response, err := l.open(ctx, transport, r, ticket)
+	response, err := l.open(limited, transport, r, ticket)
 	if err != nil {
-		return l.lost(r.kind, err)
+		return l.lost(ctx, r.kind, transport, err)
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(response.Body, answerLimit))
 	if err != nil {
-		return l.lost(r.kind, err)
+		return l.lost(ctx, r.kind, transport, err)
 	}
+	l.heard(transport)
 	a := parseHeader(response)
 	if a.status != http.StatusOK {
 		return a
 	}
 	var m message
 	if err := json.Unmarshal(body, &m); err != nil {
-		return l.lost(r.kind, err)
+		return l.lost(ctx, r.kind, transport, err)
 	}
 	a.service, a.number = m.Service, m.Number
 	return a
@@ -168,7 +169,7 @@
 	result := l.attempts(ctx, r, f, func(ticket string) answer {
 		response, err := l.openWithin(ctx, f.transport, r, ticket)
 		if err != nil {
-			return l.lost(r.kind, err)
+			return l.lost(ctx, r.kind, f.transport, err)
 		}
 		a := parseHeader(response)
 		if a.status == http.StatusOK {
--- a/internal/standin/client/load.go
+++ b/internal/standin/client/load.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"errors"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -82,6 +83,8 @@
 	bookings []Booking
 	broken   []uint64
 	reasons  map[string]int
+	// answered holds the transports whose flow has answered a request.
+	answered map[*http3.Transport]bool
 }
 
 // Run generates load until the duration is over and the requests in progress
@@ -90,7 +93,7 @@
 	if err := config.check(); err != nil {
 		return Report{}, err
 	}
-	l := &load{config: config, clock: clock.System(), counts: map[string]*Counts{}, numbers: config.FirstNumber, reasons: map[string]int{}}
+	l := &load{config: config, clock: clock.System(), counts: map[string]*Counts{}, numbers: config.FirstNumber, reasons: map[string]int{}, answered: map[*http3.Transport]bool{}}
 	for range sharedFlows {
 		l.shared = append(l.shared, l.newTransport())
 	}
@@ -223,14 +226,29 @@
 	}
 }
 
-// lost counts an attempt without an answer under its error.
-func (l *load) lost(k kind, err error) answer {
+// lost notes an attempt without an answer. A request that the server rejected
+// was not in progress, nor one that the client itself ended with ctx.
+func (l *load) lost(ctx context.Context, k kind, transport *http3.Transport, err error) answer {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.reasons[k.name+": "+err.Error()]++
+	var refusal *http3.Error
+	rejected := errors.As(err, &refusal) && refusal.ErrorCode == http3.ErrCodeRequestRejected
+	reason := k.name + ": " + err.Error()
+	if l.answered[transport] && !rejected && ctx.Err() == nil {
+		l.countsOf(k).Interrupted++
+		reason = "interrupted " + reason
+	}
+	l.reasons[reason]++
 	return answer{lost: true}
 }
 
+// heard notes that the flow of a transport answers.
+func (l *load) heard(transport *http3.Transport) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.answered[transport] = true
+}
+
 func (l *load) countsOf(k kind) *Counts {
 	counts, ok := l.counts[k.name]
 	if !ok {
--- a/internal/standin/demo/points.go
+++ b/internal/standin/demo/points.go
@@ -212,11 +212,13 @@
 
 func (e *evidence) graceful() point {
 	p := point{number: 7, title: "a planned stop interrupts no request", trials: len(e.stops)}
-	unknown, interrupted, faults := 0, 0, ""
+	unknown, interrupted, cut, repeats, faults := 0, 0, 0, 0, ""
 	for _, r := range e.rounds {
 		if r.planned {
 			unknown += r.report.Total().Unknown
 			interrupted += r.interrupted
+			cut += r.report.Total().Interrupted
+			repeats += r.report.Total().Repeats
 		}
 	}
 	for _, s := range e.stops {
@@ -225,8 +227,9 @@
 			faults += "; " + s.name + ": " + s.fault
 		}
 	}
-	p.failed += unknown + interrupted
-	p.detail = fmt.Sprintf("stops that did not end by themselves with exit code 0; in rounds of planned changes only: requests ended unknown=%d, cancelled at upstreams=%d%s", unknown, interrupted, faults)
+	p.failed += unknown + interrupted + cut
+	p.detail = fmt.Sprintf("stops that did not end by themselves with exit code 0; in rounds of planned changes only: requests ended unknown=%d, cancelled at upstreams=%d, cut off on a flow that had answered=%d; not claimed: attempts on other flows that were sent again=%d%s",
+		unknown, interrupted, cut, repeats-cut, faults)
 	return p
 }
 
