demo: Count requests to an upstream that drains and stays

Cause: a drain without a departure is another case than a leaving upstream; the design lets the sidecar learn it from refusals and recover the weight later. Change: one upstream drains while its sidecar stays, and the row of invariant 6 shows how often it was asked after 3 s, as not claimed. SIGHUP and SIGPIPE end the demo with its processes, as SIGINT does.

--- a/internal/standin/demo/command.go
+++ b/internal/standin/demo/command.go
@@ -20,10 +20,10 @@
 	defaultBoardRate   = 3
 )
 
-// Main runs the demo's command line. SIGINT and SIGTERM end it with its
-// processes.
+// Main runs the demo's command line. A signal that would end it, also that of a
+// closed terminal or output, ends it with its processes.
 func Main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGPIPE)
 	defer stop()
 	if err := newCommand().Run(ctx, os.Args); err != nil {
 		fmt.Fprintf(os.Stderr, "orioledyke-demo: %v\n", err)
--- a/internal/standin/demo/parts.go
+++ b/internal/standin/demo/parts.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/samber/oops"
 )
 
@@ -25,6 +26,9 @@
 	// reloadTime is longer than the default reload interval of the key ring.
 	reloadTime = 1500 * time.Millisecond
 
+	// drainedOnly is an upstream that drains while its sidecar stays.
+	drainedOnly = 4
+
 	killedSidecar = 1
 	pausedSidecar = 2
 )
@@ -51,7 +55,7 @@
 			planned: true, duration: 22 * time.Second, load: ordinaryLoad, disturb: p.restartSidecars,
 		},
 		{
-			name: "departures", done: "two upstreams leave, one of them draining; key ring rotated",
+			name: "departures", done: "two upstreams leave, one of them draining; one drains and stays; key ring rotated",
 			planned: true, duration: 18 * time.Second, load: ordinaryLoad, disturb: p.leave, after: p.removeGeneration,
 		},
 		{
@@ -251,8 +255,10 @@
 		return err
 	}
 	began := p.watcher.clock.Now()
-	if err := setDrain(ctx, p.layout.upstreams[leavers[0]], true); err != nil {
-		return err
+	for _, i := range []int{leavers[0], drainedOnly} {
+		if err := setDrain(ctx, p.layout.upstreams[i], true); err != nil {
+			return err
+		}
 	}
 	for _, i := range leavers {
 		p.endGracefully(p.sidecars[i])
@@ -266,7 +272,7 @@
 	if err := p.revise(ctx); err != nil {
 		return err
 	}
-	if err := sleep(ctx, leaveWatch-reloadTime); err != nil {
+	if err := p.watchDrain(ctx, began); err != nil {
 		return err
 	}
 	for _, i := range leavers {
@@ -274,8 +280,10 @@
 			return err
 		}
 	}
-	if err := setDrain(ctx, p.layout.upstreams[leavers[0]], false); err != nil {
-		return err
+	for _, i := range []int{leavers[0], drainedOnly} {
+		if err := setDrain(ctx, p.layout.upstreams[i], false); err != nil {
+			return err
+		}
 	}
 	for _, i := range leavers {
 		if err := p.renewSidecar(ctx, i, p.other(i)); err != nil {
@@ -285,6 +293,29 @@
 	return nil
 }
 
+// watchDrain waits until the leavers have been watched long enough, and counts
+// the work that came to the draining upstream whose sidecar stays after the limit
+// for leavers.
+func (p *proof) watchDrain(ctx context.Context, began clock.Millis) error {
+	if err := sleep(ctx, (began + leaveLimit - p.watcher.clock.Now()).Duration()); err != nil {
+		return err
+	}
+	before, err := activity(ctx, p.layout.upstreams[drainedOnly])
+	if err != nil {
+		return err
+	}
+	if err := sleep(ctx, leaveWatch-leaveLimit.Duration()); err != nil {
+		return err
+	}
+	after, err := activity(ctx, p.layout.upstreams[drainedOnly])
+	if err != nil {
+		return err
+	}
+	p.evidence.drained = after.Arrivals - before.Arrivals
+	p.step("%s drains while its sidecar stays: %d requests after %v", p.layout.upstreams[drainedOnly].name, p.evidence.drained, leaveLimit.Duration())
+	return nil
+}
+
 // keys changes the key ring with the operator's command.
 func (p *proof) keys(ctx context.Context, name string, flags ...string) error {
 	arguments := append(append([]string{"keys", "rotate"}, flags...), p.files.keyRing())
--- a/internal/standin/demo/points.go
+++ b/internal/standin/demo/points.go
@@ -46,6 +46,9 @@
 	runs       map[uint64]int
 	foreign    int
 	departures []departure
+	// drained counts requests that came to a draining upstream, whose sidecar
+	// stays, later than the limit for leavers.
+	drained    int
 	stops      []stop
 	revisions  revisionsVerdict
 	races      int
@@ -206,7 +209,7 @@
 			names += " " + d.name
 		}
 	}
-	p.detail = fmt.Sprintf("last new work at an upstream after SIGTERM to its sidecar, with and without a drain: %d ms%s", last, names)
+	p.detail = fmt.Sprintf("last new work at an upstream after SIGTERM to its sidecar, with and without a drain: %d ms%s; not claimed: an upstream that drains while its sidecar stays was asked %d times after 3 s and shed", last, names, e.drained)
 	return p
 }
 
--- a/internal/standin/demo/prove.go
+++ b/internal/standin/demo/prove.go
@@ -91,6 +91,8 @@
 		system: s, config: config, upstreams: slices.Clone(s.layout.upstreams),
 		current: slices.Clone(s.layout.upstreams), started: time.Now(),
 	}
+	// This is for a panic; otherwise nothing is left to stop.
+	defer s.processes.stop(stopTimeouts)
 	err = p.execute(ctx)
 	for _, fault := range s.processes.stop(stopTimeouts) {
 		p.print("prove: %s", fault)
