demo: Ignore SIGPIPE instead of ending on it

Cause: once a program asks for SIGPIPE, broken sockets cause it too. Change: the signal is ignored, so a closed output leaves the run to its end.

--- a/internal/standin/demo/command.go
+++ b/internal/standin/demo/command.go
@@ -20,11 +20,14 @@
 	defaultBoardRate   = 3
 )
 
-// Main runs the demo's command line. A signal that would end it, also that of a
-// closed terminal or output, ends it with its processes.
+// Main runs the demo's command line. SIGINT, SIGTERM and SIGHUP end it with its
+// processes.
 func Main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGPIPE)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
 	defer stop()
+	// Without this a closed output, as of "| head", would end the demo and leave
+	// its processes. To be notified would not do: sockets cause the signal too.
+	signal.Ignore(syscall.SIGPIPE)
 	if err := newCommand().Run(ctx, os.Args); err != nil {
 		fmt.Fprintf(os.Stderr, "orioledyke-demo: %v\n", err)
 		stop()
