demo: Tell answers that the clients gave up from lost ones

A trial with the metrics of every process showed no datagram dropped; the deadline is the end of the clients' own run. Change: such attempts are listed as ended by the client. Ruled out: lost handshakes (no overflowed, misdirected or unroutable datagrams).

--- a/internal/standin/client/load.go
+++ b/internal/standin/client/load.go
@@ -234,7 +234,10 @@
 	var refusal *http3.Error
 	rejected := errors.As(err, &refusal) && refusal.ErrorCode == http3.ErrCodeRequestRejected
 	reason := k.name + ": " + err.Error()
-	if l.answered[transport] && !rejected && ctx.Err() == nil {
+	switch {
+	case ctx.Err() != nil:
+		reason = k.name + ": ended by the client"
+	case l.answered[transport] && !rejected:
 		l.countsOf(k).Interrupted++
 		reason = "interrupted " + reason
 	}
--- a/internal/standin/demo/stranger.go
+++ b/internal/standin/demo/stranger.go
@@ -45,14 +45,14 @@
 // newStranger uses the number of the active generation, so that only the secret
 // is wrong.
 func newStranger(ringFile string) (*stranger, error) {
-	real, err := keyring.Load(ringFile)
+	own, err := keyring.Load(ringFile)
 	if err != nil {
 		return nil, oops.Wrap(err)
 	}
 	secret := make([]byte, keyring.SecretSize)
 	// crypto/rand.Read never returns an error since Go 1.24.
 	_, _ = rand.Read(secret)
-	number := real.Active().Generation()
+	number := own.Active().Generation()
 	ring, err := keyring.New(number, map[keyring.Generation][]byte{number: secret})
 	if err != nil {
 		return nil, oops.Wrap(err)
