--- a/internal/balancer/client/forwarder.go
+++ b/internal/balancer/client/forwarder.go
@@ -17,6 +17,7 @@
 	"github.com/orioledyke/orioledyke/internal/wire/tunnel"
 	"github.com/samber/oops"
 	"golang.org/x/net/ipv4"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -58,6 +59,7 @@
 
 	mutex   sync.RWMutex
 	sockets map[identity.ServiceID]*socket
+	workers sync.Pool
 	ctx     context.Context
 	done    sync.WaitGroup
 }
@@ -67,9 +69,19 @@
 	packets *ipv4.PacketConn
 }
 
+// Service tells how a service is reached.
+type Service struct {
+	// Port is the UDP port at the entry address.
+	Port uint16
+	// Flows is how many flows each sidecar holds at most; 0 means no limit.
+	Flows int
+}
+
 type socket struct {
 	service identity.ServiceID
 	port    uint16
+	flows   atomic.Int64
+	limiter routing.Limiter
 	conn    *net.UDPConn
 	packets *ipv4.PacketConn
 }
@@ -94,6 +106,9 @@
 		}
 		f.addLink(conn)
 	}
+	f.workers.New = func() any {
+		return &worker{in: newBatch(tunnel.HeaderSize, tunnel.MaxPayload), out: f.newOutput()}
+	}
 	for _, link := range f.links {
 		f.done.Go(func() { f.receiveFromSidecars(link) })
 	}
@@ -142,35 +157,37 @@
 // SetServices opens sockets for new services and closes those of services that
 // are gone or have another port. A port that cannot be opened is reported and
 // leaves the other services as they are.
-func (f *Forwarder) SetServices(ports map[identity.ServiceID]uint16) error {
+func (f *Forwarder) SetServices(services map[identity.ServiceID]Service) error {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	for id, s := range f.sockets {
-		if port, ok := ports[id]; !ok || port != s.port {
+		if service, ok := services[id]; !ok || service.Port != s.port {
 			_ = s.conn.Close()
 			delete(f.sockets, id)
 		}
 	}
 	var failed []error
-	for id, port := range ports {
-		if _, ok := f.sockets[id]; ok {
+	for id, service := range services {
+		if s, ok := f.sockets[id]; ok {
+			s.flows.Store(int64(service.Flows))
 			continue
 		}
-		if err := f.open(id, port); err != nil {
+		if err := f.open(id, service); err != nil {
 			failed = append(failed, err)
 		}
 	}
 	return errors.Join(failed...)
 }
 
-func (f *Forwarder) open(id identity.ServiceID, port uint16) error {
-	address := netip.AddrPortFrom(f.config.Entry, port)
+func (f *Forwarder) open(id identity.ServiceID, service Service) error {
+	address := netip.AddrPortFrom(f.config.Entry, service.Port)
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
 	if err != nil {
 		return oops.Code("entry-address-unavailable").Wrapf(err, "open %s", address)
 	}
 	enlargeBuffers(conn)
-	s := &socket{service: id, port: port, conn: conn, packets: ipv4.NewPacketConn(conn)}
+	s := &socket{service: id, port: service.Port, conn: conn, packets: ipv4.NewPacketConn(conn)}
+	s.flows.Store(int64(service.Flows))
 	f.sockets[id] = s
 	f.done.Go(func() { f.receiveFromClients(s) })
 	return nil
@@ -191,22 +208,58 @@
 	_ = conn.SetWriteBuffer(socketBytes)
 }
 
+// receiveFromClients holds buffers only while there is something to receive: a
+// thousand idle services with buffers of their own would take 150 MB.
 func (f *Forwarder) receiveFromClients(s *socket) {
-	in := newBatch(tunnel.HeaderSize, tunnel.MaxPayload)
-	out := f.newOutput()
-	router := &routing.Router{}
 	for {
-		n, err := s.packets.ReadBatch(in.messages, 0)
-		if err != nil {
+		if err := waitReadable(s.conn); err != nil {
 			if f.ended(err) {
 				return
 			}
 			continue
 		}
+		w := f.workers.Get().(*worker)
+		err := f.forwardAll(s, w)
+		f.workers.Put(w)
+		if err != nil && f.ended(err) {
+			return
+		}
+	}
+}
+
+// worker holds what one goroutine needs to forward datagrams of any service.
+type worker struct {
+	in     *batch
+	out    [][]ipv4.Message
+	router routing.Router
+}
+
+// forwardAll forwards datagrams until the socket is empty.
+func (f *Forwarder) forwardAll(s *socket, w *worker) error {
+	for {
+		n, err := s.packets.ReadBatch(w.in.messages, unix.MSG_DONTWAIT)
+		if err != nil {
+			if errors.Is(err, unix.EAGAIN) {
+				return nil
+			}
+			return err
+		}
 		f.inbound.Add(uint64(n))
-		f.sealBatch(s, router, in, n, out)
-		f.sendToSidecars(out)
+		f.sealBatch(s, &w.router, w.in, n, w.out)
+		f.sendToSidecars(w.out)
+	}
+}
+
+// waitReadable returns when a datagram or an error waits at the socket.
+func waitReadable(conn *net.UDPConn) error {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return err
 	}
+	return raw.Read(func(fd uintptr) bool {
+		_, _, err := unix.Recvfrom(int(fd), nil, unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		return !errors.Is(err, unix.EAGAIN)
+	})
 }
 
 // newOutput returns a list of messages for each tunnel socket.
@@ -230,10 +283,14 @@
 func (f *Forwarder) sealBatch(s *socket, router *routing.Router, in *batch, n int, out [][]ipv4.Message) {
 	table, ring, now := f.table.Load(), f.config.Keys.Ring(), f.config.Clock.Now()
 	keys := ring.Active()
+	flows, members := int(s.flows.Load()), len(table.Members(s.service))
 	for i := range n {
 		size := in.messages[i].N
 		buffer := in.buffers[i]
 		decision := router.Route(table, ring, s.service, buffer[tunnel.HeaderSize:tunnel.HeaderSize+size])
+		if decision.Reason == routing.ToPlaced && !s.limiter.Allow(flows, members, now) {
+			decision = routing.Decision{Reason: routing.DropOverload}
+		}
 		f.reasons[decision.Reason].Add(1)
 		if !decision.Forward() {
 			continue
--- a/internal/balancer/node/state.go
+++ b/internal/balancer/node/state.go
@@ -16,14 +16,15 @@
 type state struct {
 	forwarder *client.Forwarder
 	logger    *zap.Logger
-	contracts *contract.Store
 
 	mutex      sync.Mutex
+	contracts  *contract.Store
+	inEffect   map[string]uint64
 	portsError error
 }
 
 func newState(forwarder *client.Forwarder, logger *zap.Logger) *state {
-	return &state{forwarder: forwarder, logger: logger, contracts: contract.NewStore()}
+	return &state{forwarder: forwarder, logger: logger, contracts: contract.NewStore(), inEffect: map[string]uint64{}}
 }
 
 func (s *state) applyMembers(changed []membership.Record, removed []identity.OwnerID) {
@@ -47,31 +48,42 @@
 		s.logger.Error("contract-unreadable", zap.String("customer", customer), zap.Uint64("revision", revision), zap.Error(err))
 		return
 	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
 	if !s.contracts.Apply(d) {
 		return
 	}
 	s.logger.Info("contract-applied", zap.String("customer", customer), zap.Uint64("revision", d.Revision()), zap.Bool("deleted", d.Deleted()))
 	s.openServices()
+	if s.portsError == nil {
+		s.inEffect[customer] = d.Revision()
+	}
+}
+
+// revision returns the revision of a customer's contract whose services are all
+// open, or 0.
+func (s *state) revision(customer string) uint64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.inEffect[customer]
 }
 
 // openServices opens the service addresses of all contracts in effect. A port
 // that cannot be opened makes this balancer not ready, so that the fabric sends
 // to others.
 func (s *state) openServices() {
-	ports := map[identity.ServiceID]uint16{}
+	services := map[identity.ServiceID]client.Service{}
 	for _, d := range s.contracts.Documents() {
 		if c, ok := d.Contract(); ok {
 			for _, service := range c.Services() {
-				ports[service.ID()] = service.Port()
+				services[service.ID()] = client.Service{Port: service.Port(), Flows: service.Flows()}
 			}
 		}
 	}
-	err := s.forwarder.SetServices(ports)
+	err := s.forwarder.SetServices(services)
 	if err != nil {
 		s.logger.Error("service-address-unavailable", zap.Error(err))
 	}
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
 	s.portsError = err
 }
 
--- a/internal/sidecar/client/placement.go
+++ b/internal/sidecar/client/placement.go
@@ -19,12 +19,17 @@
 // Load is what a sidecar tells its siblings about itself.
 type Load struct {
 	Leaving bool
-	Flows   int
+	// Full means that the sidecar holds as many flows as its contract allows.
+	Full  bool
+	Flows int
 	// Unheard is true for a sibling without a recent load message: only some
 	// siblings exchange loads.
 	Unheard bool
 }
 
+// closed reports whether the sidecar takes no new flow.
+func (l Load) closed() bool { return l.Leaving || l.Full }
+
 // Placement decides which sidecar of a service takes a new flow. It is not safe
 // for concurrent use.
 type Placement struct {
@@ -62,13 +67,13 @@
 
 func (p *Placement) choose(own Load, siblings map[identity.OwnerID]Load) identity.OwnerID {
 	best, bestFlows := fewestFlows(siblings, false)
-	if best == 0 && own.Leaving {
+	if best == 0 && own.closed() {
 		best, _ = fewestFlows(siblings, true)
 	}
 	if best == 0 {
 		return p.self
 	}
-	if own.Leaving || own.Flows*100 > (bestFlows+1)*(100+relayMargin) {
+	if own.closed() || own.Flows*100 > (bestFlows+1)*(100+relayMargin) {
 		return best
 	}
 	return p.self
@@ -78,7 +83,7 @@
 // are unheard or not. It returns 0 if there is none.
 func fewestFlows(siblings map[identity.OwnerID]Load, unheard bool) (best identity.OwnerID, flows int) {
 	for owner, load := range siblings {
-		if load.Leaving || load.Unheard != unheard {
+		if load.closed() || load.Unheard != unheard {
 			continue
 		}
 		if best == 0 || load.Flows < flows || load.Flows == flows && owner < best {
--- a/internal/sidecar/node/node.go
+++ b/internal/sidecar/node/node.go
@@ -167,14 +167,21 @@
 
 func (n *node) load() client.Load {
 	load := n.handler.Load()
-	return client.Load{Leaving: load.Leaving, Flows: load.Flows}
+	return client.Load{Leaving: load.Leaving, Full: n.full(load.Flows), Flows: load.Flows}
+}
+
+// full reports whether the contract allows no flow more. Siblings have the same
+// contract and so the same limit.
+func (n *node) full(flows int) bool {
+	limit := n.contract.service().Flows()
+	return limit > 0 && flows >= limit
 }
 
 func (n *node) siblingLoads() map[identity.OwnerID]client.Load {
 	loads := map[identity.OwnerID]client.Load{}
 	now := n.clock.Now()
 	for owner, load := range n.exchange.Loads(now) {
-		loads[owner] = client.Load{Leaving: load.Leaving, Flows: load.Flows}
+		loads[owner] = client.Load{Leaving: load.Leaving, Full: n.full(load.Flows), Flows: load.Flows}
 	}
 	for _, owner := range n.exchange.Unheard(now) {
 		loads[owner] = client.Load{Unheard: true}
@@ -211,6 +218,7 @@
 	server, err := client.NewServer(client.ServerConfig{
 		Conn: n.conn, Self: n.self, Service: n.service, Keys: n.keys,
 		Certificate: n.certificate.GetCertificate, Handler: telemetry.Hop(tracerName, "balancer", n.balancerOf, n.handler),
+		Full: func() bool { return n.full(n.flows()) },
 	})
 	if err != nil {
 		return err
