--- a/internal/standin/demo/operator.go
+++ b/internal/standin/demo/operator.go
@@ -1,42 +1,71 @@
 package demo
 
 import (
+	"bytes"
 	"context"
-	"errors"
-	"os"
+	"encoding/json"
+	"strconv"
 
-	"github.com/orioledyke/orioledyke/internal/control/contract"
-	"github.com/orioledyke/orioledyke/internal/control/platform"
 	"github.com/samber/oops"
 )
 
-// putRevision writes the contract file as the next revision, as an operator's
-// command does. With expected it replaces only that revision. It reports false
-// after a conflict with another operator.
-func (s *system) putRevision(ctx context.Context, file string, expected *uint64) (revision uint64, written bool, err error) {
-	data, err := os.ReadFile(file)
-	if err != nil {
-		return 0, false, oops.Wrap(err)
-	}
-	next, err := contract.Parse(data)
-	if err != nil {
-		return 0, false, oops.Wrap(err)
+// putting is an operator's command that writes a contract.
+type putting struct {
+	process *process
+	output  *bytes.Buffer
+}
+
+// putResult is the outcome of an operator's command. Without an error and not
+// written it was a conflict with another operator.
+type putResult struct {
+	revision uint64
+	written  bool
+	err      error
+}
+
+// startPut starts to write the contract file as the next revision; name is the
+// name of the log. With expected the command replaces only that revision.
+func (s *system) startPut(name, file string, expected *uint64) (*putting, error) {
+	arguments := []string{"contract", "put", "--json", "--platform", s.platformURL()}
+	if expected != nil {
+		arguments = append(arguments, "--expect-revision", strconv.FormatUint(*expected, 10))
 	}
-	document, err := platform.New(platform.Config{Address: s.platformURL()}).PutContract(ctx, next, expected)
-	var conflict *platform.ConflictError
-	if errors.As(err, &conflict) {
-		return 0, false, nil
+	p := &putting{output: &bytes.Buffer{}}
+	var err error
+	p.process, err = s.processes.start(otherStage, name, p.output, productBinary, append(arguments, file)...)
+	return p, err
+}
+
+// wait returns the outcome once the command has ended.
+func (p *putting) wait(ctx context.Context) putResult {
+	select {
+	case <-ctx.Done():
+		return putResult{err: ctx.Err()}
+	case <-p.process.ended:
 	}
-	if err != nil {
-		return 0, false, oops.Wrap(err)
+	p.process.stopping = true
+	r, ok := parsePut(p.output.Bytes(), p.process.err == nil)
+	if !ok {
+		r.err = oops.Wrap(p.process.failure())
 	}
-	return document.Revision(), true, nil
+	return r
 }
 
-// putFirst writes the first contract without the operator's command.
-func putFirst(ctx context.Context, s *system) error {
-	_, _, err := s.putRevision(ctx, s.files.contract(), nil)
-	return err
+// parsePut reads the command's output. It returns false for anything but a
+// written revision or a conflict that shows both documents.
+func parsePut(output []byte, succeeded bool) (putResult, bool) {
+	var answer struct {
+		Revision uint64          `json:"revision"`
+		Current  json.RawMessage `json:"current"`
+		Proposed json.RawMessage `json:"proposed"`
+	}
+	if err := json.Unmarshal(output, &answer); err != nil {
+		return putResult{}, false
+	}
+	if succeeded {
+		return putResult{revision: answer.Revision, written: true}, answer.Revision > 0
+	}
+	return putResult{}, len(answer.Current) > 0 && len(answer.Proposed) > 0
 }
 
 // writeVariant writes a contract that differs from the first one by the deadline
--- a/internal/standin/demo/points_test.go
+++ b/internal/standin/demo/points_test.go
@@ -182,11 +182,29 @@
 // TestRaceNeedsOneWinner guards against a lost update that counts as a pass.
 func TestRaceNeedsOneWinner(t *testing.T) {
 	c := qt.New(t)
-	won := func(revision uint64) raceResult { return raceResult{revision: revision, written: true} }
-	c.Check(rightRace(4, []raceResult{won(5), {}}), qt.IsTrue)
-	c.Check(rightRace(4, []raceResult{won(5)}), qt.IsTrue)
-	c.Check(rightRace(4, []raceResult{won(5), won(6)}), qt.IsFalse)
-	c.Check(rightRace(4, []raceResult{won(6), {}}), qt.IsFalse)
-	c.Check(rightRace(4, []raceResult{{}, {}}), qt.IsFalse)
-	c.Check(rightRace(4, []raceResult{won(5), {err: errors.New("platform is down")}}), qt.IsFalse)
+	won := func(revision uint64) putResult { return putResult{revision: revision, written: true} }
+	c.Check(rightRace(4, []putResult{won(5), {}}), qt.IsTrue)
+	c.Check(rightRace(4, []putResult{won(5)}), qt.IsTrue)
+	c.Check(rightRace(4, []putResult{won(5), won(6)}), qt.IsFalse)
+	c.Check(rightRace(4, []putResult{won(6), {}}), qt.IsFalse)
+	c.Check(rightRace(4, []putResult{{}, {}}), qt.IsFalse)
+	c.Check(rightRace(4, []putResult{won(5), {err: errors.New("platform is down")}}), qt.IsFalse)
+}
+
+// TestPutOutcomeIsRead guards against a failed command that counts as a conflict,
+// and against a success without a revision.
+func TestPutOutcomeIsRead(t *testing.T) {
+	c := qt.New(t)
+	r, ok := parsePut([]byte(`{"customer":"presa-digital","revision":5}`), true)
+	c.Check(ok, qt.IsTrue)
+	c.Check(r, qt.Equals, putResult{revision: 5, written: true})
+	r, ok = parsePut([]byte(`{"error":"conflict","current":{"revision":5},"proposed":{"revision":5}}`), false)
+	c.Check(ok, qt.IsTrue)
+	c.Check(r, qt.Equals, putResult{})
+	for _, output := range []string{"", `{}`, `{"revision":5}`, `platform is down`} {
+		_, ok = parsePut([]byte(output), false)
+		c.Check(ok, qt.IsFalse, qt.Commentf("%s", output))
+	}
+	_, ok = parsePut([]byte(`{}`), true)
+	c.Check(ok, qt.IsFalse)
 }
--- a/internal/standin/demo/prove.go
+++ b/internal/standin/demo/prove.go
@@ -81,7 +81,7 @@
 	s, remove, err := newSystem(systemConfig{
 		binaries: config.Binaries, logs: filepath.Join(config.Out, "prove-logs"), seed: config.Seed,
 		loss: proveLoss, duplication: proveDuplication, reordering: proveReordering,
-		serviceTime: proveServiceTime, putContract: putFirst,
+		serviceTime: proveServiceTime,
 	})
 	if err != nil {
 		return err
--- a/internal/standin/demo/races.go
+++ b/internal/standin/demo/races.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"sync"
 	"time"
 
 	"github.com/samber/oops"
@@ -17,16 +16,20 @@
 	if err != nil {
 		return err
 	}
-	revision, written, err := p.putRevision(ctx, file, nil)
+	command, err := p.startPut(p.freshName("contract-put"), file, nil)
 	if err != nil {
 		return err
 	}
-	if !written {
+	r := command.wait(ctx)
+	if r.err != nil {
+		return r.err
+	}
+	if !r.written {
 		return oops.Errorf("contract: a conflict without another operator")
 	}
-	p.watcher.accepted(revision)
-	p.revision = revision
-	p.step("contract at revision %d", revision)
+	p.watcher.accepted(r.revision)
+	p.revision = r.revision
+	p.step("contract at revision %d", r.revision)
 	return nil
 }
 
@@ -62,33 +65,35 @@
 
 // race lets two operators replace the same revision: one must win, and the other
 // must learn of it.
-func (p *proof) race(ctx context.Context) error {
+func (p *proof) race(ctx context.Context) error { return p.compete(ctx, 2) }
+
+// compete lets a number of operators replace the last revision at once.
+func (p *proof) compete(ctx context.Context, operators int) error {
 	expected := p.revision
-	results := make([]raceResult, 2)
-	var wait sync.WaitGroup
-	for i := range results {
-		file, err := p.nextVariant()
+	files := make([]string, operators)
+	for i := range files {
+		var err error
+		if files[i], err = p.nextVariant(); err != nil {
+			return err
+		}
+	}
+	var commands []*putting
+	for _, file := range files {
+		command, err := p.startPut(p.freshName("contract-put"), file, &expected)
 		if err != nil {
 			return err
 		}
-		wait.Go(func() {
-			r := &results[i]
-			r.revision, r.written, r.err = p.putRevision(ctx, file, &expected)
-		})
+		commands = append(commands, command)
+	}
+	var results []putResult
+	for _, command := range commands {
+		results = append(results, command.wait(ctx))
 	}
-	wait.Wait()
 	return p.settleRace(expected, results)
 }
 
-// raceResult is the outcome of one operator's command.
-type raceResult struct {
-	revision uint64
-	written  bool
-	err      error
-}
-
 // rightRace reports whether exactly one operator replaced the revision.
-func rightRace(expected uint64, results []raceResult) bool {
+func rightRace(expected uint64, results []putResult) bool {
 	winners := 0
 	for _, r := range results {
 		if r.err != nil {
@@ -104,7 +109,7 @@
 	return winners == 1
 }
 
-func (p *proof) settleRace(expected uint64, results []raceResult) error {
+func (p *proof) settleRace(expected uint64, results []putResult) error {
 	p.evidence.races++
 	if !rightRace(expected, results) {
 		p.evidence.raceFaults++
@@ -128,12 +133,5 @@
 	if err := p.switchPlatform(ctx, `{"lost-responses":1}`); err != nil {
 		return err
 	}
-	file, err := p.nextVariant()
-	if err != nil {
-		return err
-	}
-	expected := p.revision
-	var r raceResult
-	r.revision, r.written, r.err = p.putRevision(ctx, file, &expected)
-	return p.settleRace(expected, []raceResult{r})
+	return p.compete(ctx, 1)
 }
--- a/internal/standin/demo/system.go
+++ b/internal/standin/demo/system.go
@@ -26,9 +26,6 @@
 	reordering  float64
 	// serviceTime of the upstreams is the stand-in's default if it is 0.
 	serviceTime time.Duration
-	// putContract writes the first contract. It is the operator's command if it
-	// is left out.
-	putContract func(context.Context, *system) error
 }
 
 // system is the whole system as separate processes on one machine.
@@ -58,17 +55,10 @@
 	if err != nil {
 		return nil, nil, oops.Wrap(err)
 	}
-	if config.putContract == nil {
-		config.putContract = putWithCommand
-	}
 	s := &system{config: config, layout: l, files: files{directory: directory}, processes: newProcesses(config.binaries, config.logs)}
 	return s, func() { _ = os.RemoveAll(directory) }, nil
 }
 
-func putWithCommand(ctx context.Context, s *system) error {
-	return s.processes.run(ctx, "contract-put", productBinary, "contract", "put", s.files.contract(), "--platform", s.platformURL())
-}
-
 func (s *system) platformURL() string { return "http://" + s.layout.platform.String() }
 
 // start starts everything and returns when every process is ready.
@@ -82,7 +72,7 @@
 	if err := platform.waitReady(ctx, "http://"+s.layout.platform.String()+"/admin/counts"); err != nil {
 		return err
 	}
-	if err := s.config.putContract(ctx, s); err != nil {
+	if err := s.processes.run(ctx, "contract-put", productBinary, "contract", "put", s.files.contract(), "--platform", s.platformURL()); err != nil {
 		return err
 	}
 	ready := map[*process]string{}
