--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := bin
 TOOLS := $(abspath $(BIN)/tools)
 
-.PHONY: all build tools lint format generate test demo bench capacity
+.PHONY: all build tools lint format generate test demo prove bench capacity
 
 all: build
 
@@ -30,6 +30,9 @@
 demo: build
 	$(BIN)/orioledyke-demo
 
+prove: build
+	$(BIN)/orioledyke-demo prove
+
 bench:
 	$(GO) test -run '^$$' -bench 'Route|TableChange|Forward' ./internal/balancer/...
 
--- a/internal/sidecar/client/placement.go
+++ b/internal/sidecar/client/placement.go
@@ -22,6 +22,9 @@
 	// Full means that the sidecar holds as many flows as its contract allows.
 	Full  bool
 	Flows int
+	// Unheard is true for a sibling without a recent load message: only some
+	// siblings exchange loads.
+	Unheard bool
 }
 
 // closed reports whether the sidecar takes no new flow.
@@ -63,15 +66,9 @@
 }
 
 func (p *Placement) choose(own Load, siblings map[identity.OwnerID]Load) identity.OwnerID {
-	var best identity.OwnerID
-	bestFlows := 0
-	for owner, load := range siblings {
-		if load.closed() {
-			continue
-		}
-		if best == 0 || load.Flows < bestFlows || load.Flows == bestFlows && owner < best {
-			best, bestFlows = owner, load.Flows
-		}
+	best, bestFlows := fewestFlows(siblings, false)
+	if best == 0 && own.closed() {
+		best, _ = fewestFlows(siblings, true)
 	}
 	if best == 0 {
 		return p.self
@@ -82,6 +79,20 @@
 	return p.self
 }
 
+// fewestFlows returns the sibling with the fewest flows, of those that serve and
+// are unheard or not. It returns 0 if there is none.
+func fewestFlows(siblings map[identity.OwnerID]Load, unheard bool) (best identity.OwnerID, flows int) {
+	for owner, load := range siblings {
+		if load.closed() || load.Unheard != unheard {
+			continue
+		}
+		if best == 0 || load.Flows < flows || load.Flows == flows && owner < best {
+			best, flows = owner, load.Flows
+		}
+	}
+	return best, flows
+}
+
 // expire drops handshakes in the order in which they began, which is also the
 // order in which they end.
 func (p *Placement) expire(now clock.Millis) {
--- a/internal/standin/client/counts.go
+++ b/internal/standin/client/counts.go
@@ -36,6 +36,16 @@
 	// were lost. They are no results.
 	Refusals int `json:"refusals"`
 	Repeats  int `json:"repeats"`
+	// Interrupted counts those lost answers whose flow had answered before, so
+	// that the request may have been in progress.
+	Interrupted int `json:"interrupted,omitempty"`
+}
+
+// Booking is what became of one booking. Its refusals are answers "not run".
+type Booking struct {
+	Number   uint64 `json:"number"`
+	Result   Result `json:"result"`
+	Refusals int    `json:"refusals,omitempty"`
 }
 
 // Report holds the counts of every kind since the start.
@@ -43,6 +53,11 @@
 	Elapsed clock.Millis      `json:"elapsed-ms"`
 	Final   bool              `json:"final"`
 	Kinds   map[string]Counts `json:"kinds"`
+	// Bookings and BrokenBoards are in the final report only.
+	Bookings     []Booking `json:"bookings,omitempty"`
+	BrokenBoards []uint64  `json:"broken-boards,omitempty"`
+	// Reasons counts lost answers by their error.
+	Reasons map[string]int `json:"reasons,omitempty"`
 }
 
 // Total returns the sum over all kinds.
@@ -58,6 +73,7 @@
 		total.BrokenFlows += k.BrokenFlows
 		total.Refusals += k.Refusals
 		total.Repeats += k.Repeats
+		total.Interrupted += k.Interrupted
 	}
 	return total
 }
--- a/internal/standin/client/load.go
+++ b/internal/standin/client/load.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"errors"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -78,6 +79,12 @@
 	mutex   sync.Mutex
 	counts  map[string]*Counts
 	numbers uint64
+	// bookings, broken and reasons are details of the final report.
+	bookings []Booking
+	broken   []uint64
+	reasons  map[string]int
+	// answered holds the transports whose flow has answered a request.
+	answered map[*http3.Transport]bool
 }
 
 // Run generates load until the duration is over and the requests in progress
@@ -86,7 +93,7 @@
 	if err := config.check(); err != nil {
 		return Report{}, err
 	}
-	l := &load{config: config, clock: clock.System(), counts: map[string]*Counts{}, numbers: config.FirstNumber}
+	l := &load{config: config, clock: clock.System(), counts: map[string]*Counts{}, numbers: config.FirstNumber, reasons: map[string]int{}, answered: map[*http3.Transport]bool{}}
 	for range sharedFlows {
 		l.shared = append(l.shared, l.newTransport())
 	}
@@ -116,6 +123,9 @@
 	l.reportUntil(finished)
 	report := l.report()
 	report.Final = true
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	report.Bookings, report.BrokenBoards, report.Reasons = l.bookings, l.broken, l.reasons
 	return report, nil
 }
 
@@ -208,6 +218,38 @@
 	counts.add(result)
 	counts.Refusals += r.refusals
 	counts.Repeats += r.lost
+	if k == booking {
+		l.bookings = append(l.bookings, Booking{Number: r.number, Result: result, Refusals: r.refusals})
+	}
+	if result == BrokenFlow {
+		l.broken = append(l.broken, r.number)
+	}
+}
+
+// lost notes an attempt without an answer. A request that the server rejected
+// was not in progress, nor one that the client itself ended with ctx.
+func (l *load) lost(ctx context.Context, k kind, transport *http3.Transport, err error) answer {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	var refusal *http3.Error
+	rejected := errors.As(err, &refusal) && refusal.ErrorCode == http3.ErrCodeRequestRejected
+	reason := k.name + ": " + err.Error()
+	switch {
+	case ctx.Err() != nil:
+		reason = k.name + ": ended by the client"
+	case l.answered[transport] && !rejected:
+		l.countsOf(k).Interrupted++
+		reason = "interrupted " + reason
+	}
+	l.reasons[reason]++
+	return answer{lost: true}
+}
+
+// heard notes that the flow of a transport answers.
+func (l *load) heard(transport *http3.Transport) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.answered[transport] = true
 }
 
 func (l *load) countsOf(k kind) *Counts {
