fuzz: Run the decisions together against the eight invariants

Each state machine had its own tests, and nothing checked the invariants of the design page across membership, routing, dispatch, admission, tickets and contracts.

The oracle sees only what clients, upstreams and operators see.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := bin
 TOOLS := $(abspath $(BIN)/tools)
 
-.PHONY: all build tools lint format generate test demo bench
+.PHONY: all build tools lint format generate test demo bench fuzz mutants
 
 all: build
 
@@ -32,3 +32,17 @@
 
 bench:
 	$(GO) test -run '^$$' -bench 'Route|TableChange|Forward' ./internal/balancer/...
+
+SEED ?= 20261204
+STEPS ?= 20000
+
+$(BIN)/fuzz.test: FORCE
+	$(GO) test -c -o $@ ./internal/standin/fuzz
+
+FORCE:
+
+fuzz: $(BIN)/fuzz.test
+	@$< -test.run '^TestFuzz$$' -fuzz.seed=$(SEED) -fuzz.steps=$(STEPS) -fuzz.summary=fuzz
+
+mutants: $(BIN)/fuzz.test
+	@$< -test.run '^TestMutants$$' -fuzz.seed=$(SEED) -fuzz.summary=mutants
--- /dev/null
+++ b/internal/standin/fuzz/fuzz_test.go
@@ -0,0 +1,90 @@
+// Package fuzz_test runs the decisions of balancers and sidecars together on a
+// virtual clock, with random faults, and compares what is seen from outside with
+// the invariants of docs/design.md.
+package fuzz_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+const (
+	stepsPerCase  = 100
+	casesPerBatch = 10
+	// batchSeeds is the distance of the seeds of two batches. rapid uses one seed
+	// for each case.
+	batchSeeds = 1000
+)
+
+var (
+	seedFlag    = flag.Uint64("fuzz.seed", 20261204, "seed of the first batch")
+	stepsFlag   = flag.Int("fuzz.steps", 1500, "least number of steps")
+	summaryFlag = flag.String("fuzz.summary", "", "which summary to print last: fuzz or mutants")
+
+	total   counts
+	planted []result
+)
+
+// counts are the sums over all cases of TestFuzz.
+type counts struct {
+	steps, failures, cases                                   int
+	packets, checkedPackets, requests, runs, notRun, commits int
+}
+
+// TestMain fixes the flags of rapid and prints the summary after the verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{
+		"rapid.steps": fmt.Sprint(stepsPerCase), "rapid.checks": fmt.Sprint(casesPerBatch), "rapid.nofailfile": "true",
+	} {
+		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
+			_ = flag.Set(name, value)
+		}
+	}
+	code := m.Run()
+	switch *summaryFlag {
+	case "fuzz":
+		fmt.Printf("cases=%d packets=%d checked-packets=%d answers=%d runs=%d not-run=%d contracts=%d\n",
+			total.cases, total.packets, total.checkedPackets, total.requests, total.runs, total.notRun, total.commits)
+		fmt.Printf("fuzz: steps=%d failures=%d\n", total.steps, total.failures)
+	case "mutants":
+		printMutants()
+	}
+	os.Exit(code)
+}
+
+// TestFuzz guards against any mixture of faults and planned changes that breaks
+// one of the invariants.
+func TestFuzz(t *testing.T) {
+	for seed := *seedFlag; total.steps < *stepsFlag; seed += batchSeeds {
+		_ = flag.Set("rapid.seed", fmt.Sprint(seed))
+		ok := t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				found := runCase(t, realDecisions())
+				total.add(found)
+				if found.violation != "" {
+					t.Fatalf("%s", found.violation)
+				}
+			})
+		})
+		if !ok {
+			total.failures++
+		}
+	}
+}
+
+func (c *counts) add(found outcome) {
+	o := found.oracle
+	c.cases++
+	c.steps += found.steps
+	c.packets += o.packets
+	c.checkedPackets += o.checkedPackets
+	c.requests += o.requests
+	c.runs += o.runCount
+	c.notRun += o.notRunCount
+	c.commits += o.commits
+}
