fuzz: Plant a fault for each invariant

An oracle that reports nothing may check nothing. Three of the first 17 planted faults were missed: packets were judged by the service of their flow instead of the address to which the client sent them, the condition of invariant 6 needed a sibling older than most cases, and too few flows began after an address was reused by another service.

Mutants replace one decision through function fields of the harness. The service of a packet is now the address it was sent to, the conditions use the times that they need, and flows also open in bursts. Faults of sidecars no longer excuse lost packets of flows of other sidecars.

--- a/internal/standin/fuzz/actions_test.go
+++ b/internal/standin/fuzz/actions_test.go
@@ -96,15 +96,14 @@
 	service := rapid.IntRange(0, len(services)-1)
 	return map[string]func(*rapid.T){
 		"open-flow": func(t *rapid.T) {
-			open := 0
-			for _, f := range w.flows {
-				if f.state <= flowOpen {
-					open++
-				}
-			}
-			if open < maxFlows {
-				chosen := rapid.SampledFrom([]int{8, 17, 20}).Draw(t, "connection-id")
-				w.openFlow(service.Draw(t, "service"), rapid.Bool().Draw(t, "stream"), chosen)
+			w.limitFlows()
+			chosen := rapid.SampledFrom([]int{8, 17, 20}).Draw(t, "connection-id")
+			w.openFlow(service.Draw(t, "service"), rapid.Bool().Draw(t, "stream"), chosen)
+		},
+		"open-flows": func(t *rapid.T) {
+			w.limitFlows()
+			for range rapid.IntRange(1, 8).Draw(t, "count") {
+				w.openFlow(service.Draw(t, "service"), false, 8)
 			}
 		},
 		"close-flow": func(t *rapid.T) {
@@ -180,13 +179,30 @@
 	if o == nil || f == nil {
 		return
 	}
-	token := o.ticket
+	token := o.tickets[rapid.IntRange(0, len(o.tickets)-1).Draw(t, "ticket")]
 	if falsely {
 		o = w.newOrder(f.service, true)
 	}
 	w.request(f, o, token)
 }
 
+// limitFlows closes the oldest idle flows beyond a limit.
+func (w *world) limitFlows() {
+	open := 0
+	for _, f := range w.flows {
+		if f.state <= flowOpen {
+			open++
+		}
+	}
+	for _, f := range w.flows {
+		if open >= maxFlows && f.state == flowOpen && f.idle() {
+			f.state = flowClosed
+			f.owner.forget()
+			open--
+		}
+	}
+}
+
 func (f *flow) idle() bool {
 	for _, a := range f.attempts {
 		if !a.answered {
--- a/internal/standin/fuzz/decisions_test.go
+++ b/internal/standin/fuzz/decisions_test.go
@@ -5,6 +5,7 @@
 	"github.com/orioledyke/orioledyke/internal/common/identity"
 	"github.com/orioledyke/orioledyke/internal/control/contract"
 	"github.com/orioledyke/orioledyke/internal/control/membership"
+	"github.com/orioledyke/orioledyke/internal/sidecar/admission"
 	"github.com/orioledyke/orioledyke/internal/sidecar/client"
 	"github.com/orioledyke/orioledyke/internal/sidecar/ticket"
 	"github.com/orioledyke/orioledyke/internal/wire/controlpb"
@@ -20,6 +21,10 @@
 	refuse        func(p *process, t ticket.Ticket)
 	runsHere      func(p *process, t ticket.Ticket) bool
 	drained       func(p *process) bool
+	closed        func(p *process) bool
+	announced     func(p *process) (membership.State, int)
+	configure     func(p *process, config admission.Config)
+	reads         func(b *process) bool
 	contracts     func(p *process, received []membership.Contract) []membership.Contract
 	received      func(b *process, m *controlpb.SyncMessage)
 	applyContract func(p *process, d contract.Document) bool
@@ -44,6 +49,10 @@
 		refuse:    func(p *process, t ticket.Ticket) { p.tickets.Refuse(t) },
 		runsHere:  func(p *process, t ticket.Ticket) bool { return t.Owner() == p.id },
 		drained:   func(p *process) bool { return p.drained() },
+		closed:    func(p *process) bool { return p.leaving && p.w.now-p.left >= leavingGrace },
+		announced: func(p *process) (membership.State, int) { return p.announced() },
+		configure: func(p *process, config admission.Config) { p.deliver(p.admission.Configure(config, p.w.now)) },
+		reads:     func(b *process) bool { return b.readSince != b.w.platform.commits },
 		contracts: func(_ *process, received []membership.Contract) []membership.Contract { return received },
 		received:  func(*process, *controlpb.SyncMessage) {},
 		applyContract: func(p *process, d contract.Document) bool {
--- a/internal/standin/fuzz/flow_test.go
+++ b/internal/standin/fuzz/flow_test.go
@@ -73,8 +73,10 @@
 
 // message is what a packet carries. A real packet names it by its index.
 type message struct {
-	kind      messageKind
-	flow      *flow
+	kind messageKind
+	flow *flow
+	// service is the one to whose address the client sent the packet.
+	service   int
 	from      *process
 	session   *session
 	attempt   *attempt
@@ -153,8 +155,9 @@
 	if f.state == flowOpening {
 		header = append([]byte{0xc0, 0, 0, 0, 1, byte(len(f.chosen))}, f.chosen...)
 	}
+	m.service = service
 	packet := w.packet(header, m)
-	w.oracle.sent(w.unpack(packet), b, service)
+	w.oracle.sent(w.unpack(packet), b)
 	for _, delay := range w.copies() {
 		w.schedule(delay, b, func() { b.fromClient(service, slices.Clone(packet), f.client) })
 	}
@@ -250,7 +253,7 @@
 // receivePacket is the QUIC stack of a sidecar.
 func (p *process) receivePacket(m *message) {
 	f := m.flow
-	p.w.oracle.entered(p, f)
+	p.w.oracle.entered(p, m)
 	s := p.held[f]
 	if m.kind == messageInitial {
 		if s == nil {
--- a/internal/standin/fuzz/mutants_test.go
+++ b/internal/standin/fuzz/mutants_test.go
@@ -1,13 +1,246 @@
 package fuzz_test
 
-import "fmt"
+import (
+	"fmt"
+	"testing"
 
-type result struct {
+	"github.com/orioledyke/orioledyke/internal/balancer/routing"
+	"github.com/orioledyke/orioledyke/internal/common/identity"
+	"github.com/orioledyke/orioledyke/internal/control/contract"
+	"github.com/orioledyke/orioledyke/internal/control/membership"
+	"github.com/orioledyke/orioledyke/internal/sidecar/admission"
+	"github.com/orioledyke/orioledyke/internal/sidecar/client"
+	"github.com/orioledyke/orioledyke/internal/sidecar/ticket"
+	"github.com/orioledyke/orioledyke/internal/wire/controlpb"
+	"github.com/orioledyke/orioledyke/internal/wire/tunnel"
+	"pgregory.net/rapid"
+)
+
+// mutantCases limits the cases in which a mutant must be caught.
+const mutantCases = 60
+
+// mutant is a deliberate fault in one decision.
+type mutant struct {
 	invariant int
 	fault     string
-	caught    string
-	seed      int
-	steps     int
+	plant     func(d *decisions)
+}
+
+type result struct {
+	mutant
+	// caught is what the oracle said; empty if it missed the fault.
+	caught string
+	seed   int
+	steps  int
+}
+
+type ticketKey struct {
+	p     *process
+	nonce uint64
+}
+
+func mutants() []mutant {
+	return []mutant{
+		{1, "balancer moves flows of a leaver to a sibling", moveFlowsOfLeaver},
+		{1, "sidecar stops before its streams end", func(d *decisions) {
+			d.drained = func(p *process) bool { return p.active == 0 && p.unanswered() == 0 }
+		}},
+		{1, "leaver is announced as left at once", func(d *decisions) {
+			announced := d.announced
+			d.announced = func(p *process) (membership.State, int) {
+				if p.leaving {
+					return membership.StateLeft, 0
+				}
+				return announced(p)
+			}
+		}},
+		{2, "sidecar takes datagrams for other services and owners", func(d *decisions) {
+			dispatch := d.dispatch
+			d.dispatch = func(p *process, h tunnel.Header, packet []byte) client.Dispatch {
+				if h.Type == tunnel.TypeInbound {
+					h.Service, h.Owner = p.serviceID, p.id
+				}
+				return dispatch(p, h, packet)
+			}
+		}},
+		{2, "balancer routes by connection ID, whatever the socket", routeForeign},
+		{3, "a ticket is not bound to its request", func(d *decisions) {
+			begin := d.begin
+			d.begin = func(p *process, t ticket.Ticket, _ ticket.Digest) (ticket.State, ticket.Response) {
+				return begin(p, t, ticket.Digest{})
+			}
+		}},
+		{3, "a new contract forgets the queued requests", func(d *decisions) {
+			d.configure = func(p *process, config admission.Config) {
+				clear(p.gate)
+				p.admission = admission.New(config, p.w.now)
+			}
+		}},
+		{4, "a refusal is not recorded", forgetRefusals},
+		{4, "a repeat of a running request is refused as not run", replaceState(ticket.Running, ticket.Refused)},
+		{5, "a repeat of a finished request runs again", replaceState(ticket.Done, ticket.Run)},
+		{5, "any sidecar runs a ticket", func(d *decisions) {
+			d.runsHere = func(*process, ticket.Ticket) bool { return true }
+		}},
+		{6, "leaver is neither announced nor passes on new flows", func(d *decisions) {
+			announced := d.announced
+			d.announced = func(p *process) (membership.State, int) {
+				if p.leaving {
+					return membership.StateServing, membership.MaxWeight
+				}
+				return announced(p)
+			}
+			d.load = func(p *process) client.Load { return client.Load{Flows: len(p.sessions)} }
+		}},
+		{6, "leaver keeps starting requests", func(d *decisions) {
+			d.closed = func(*process) bool { return false }
+		}},
+		{7, "sidecar stops after a fixed time", func(d *decisions) {
+			d.drained = func(p *process) bool { return len(p.openStreams()) == 0 }
+		}},
+		{8, "balancer drops every second contract that it hears", dropContracts},
+		{8, "reader does not follow changes", func(d *decisions) {
+			d.reads = func(b *process) bool { return b.readSince < 0 }
+		}},
+		{8, "balancer applies late contracts", applyLate},
+	}
+}
+
+// moveFlowsOfLeaver sends packets of flows whose owner has weight 0 to the first
+// member with another weight.
+func moveFlowsOfLeaver(d *decisions) {
+	route := d.route
+	d.route = func(b *process, service identity.ServiceID, packet []byte) routing.Decision {
+		got := route(b, service, packet)
+		owner, _ := b.table.Member(got.Owner)
+		if got.Reason != routing.ToOwner || owner.Weight > 0 {
+			return got
+		}
+		for _, m := range b.table.Members(service) {
+			if m.Weight > 0 {
+				got.Owner, got.Target = m.Owner, m.Tunnel
+				return got
+			}
+		}
+		return got
+	}
+}
+
+// routeForeign also lets the sidecar skip its own check: one of the two is enough
+// to keep the packet out.
+func routeForeign(d *decisions) {
+	route := d.route
+	d.route = func(b *process, service identity.ServiceID, packet []byte) routing.Decision {
+		got := route(b, service, packet)
+		for _, name := range services {
+			if other := identity.NewServiceID(customer, name); got.Reason == routing.DropForeignConnectionID {
+				got = route(b, other, packet)
+			}
+		}
+		return got
+	}
+	dispatch := d.dispatch
+	d.dispatch = func(p *process, h tunnel.Header, packet []byte) client.Dispatch {
+		h.Service = p.serviceID
+		return dispatch(p, h, packet)
+	}
 }
 
-func printMutants() { fmt.Println("mutants: planted=0 caught=0") }
+func forgetRefusals(d *decisions) {
+	refuse, begin := d.refuse, d.begin
+	forgotten := map[ticketKey]bool{}
+	d.refuse = func(p *process, t ticket.Ticket) {
+		forgotten[ticketKey{p, t.Nonce()}] = true
+		refuse(p, t)
+	}
+	d.begin = func(p *process, t ticket.Ticket, digest ticket.Digest) (ticket.State, ticket.Response) {
+		state, response := begin(p, t, digest)
+		if state == ticket.Refused && forgotten[ticketKey{p, t.Nonce()}] {
+			state = ticket.Run
+		}
+		return state, response
+	}
+}
+
+func replaceState(from, to ticket.State) func(*decisions) {
+	return func(d *decisions) {
+		begin := d.begin
+		d.begin = func(p *process, t ticket.Ticket, digest ticket.Digest) (ticket.State, ticket.Response) {
+			state, response := begin(p, t, digest)
+			if state == from {
+				return to, ticket.Response{}
+			}
+			return state, response
+		}
+	}
+}
+
+func dropContracts(d *decisions) {
+	heard := map[*process]int{}
+	d.contracts = func(p *process, received []membership.Contract) []membership.Contract {
+		if p.balancer == nil || len(received) == 0 {
+			return received
+		}
+		heard[p]++
+		if heard[p]%2 == 0 {
+			return nil
+		}
+		return received
+	}
+}
+
+// applyLate applies contracts as they arrive, also duplicated and late ones.
+func applyLate(d *decisions) {
+	d.received = func(b *process, m *controlpb.SyncMessage) {
+		for _, c := range m.GetContracts() {
+			b.applyContract(membership.Contract{Customer: c.GetCustomer(), Revision: c.GetRevision(), Document: c.GetDocument()})
+		}
+	}
+	d.applyContract = func(p *process, c contract.Document) bool {
+		p.contracts.Apply(c)
+		return true
+	}
+}
+
+// hunt runs cases until the oracle reports the planted fault as a violation of
+// its invariant.
+func hunt(m mutant, first int) result {
+	found := result{mutant: m}
+	for seed := first; seed < first+mutantCases; seed++ {
+		d := realDecisions()
+		m.plant(&d)
+		got := rapid.Custom(func(t *rapid.T) outcome { return runCase(t, d) }).Example(seed)
+		found.seed, found.steps = seed, found.steps+got.steps
+		if got.invariant == m.invariant {
+			found.caught = got.violation
+			return found
+		}
+	}
+	return found
+}
+
+// TestMutants guards against an oracle that misses a broken decision.
+func TestMutants(t *testing.T) {
+	for _, m := range mutants() {
+		found := hunt(m, int(*seedFlag))
+		planted = append(planted, found)
+		if found.caught == "" {
+			t.Errorf("invariant %d: %s: not caught in %d steps", m.invariant, m.fault, found.steps)
+		}
+	}
+}
+
+func printMutants() {
+	caught := 0
+	fmt.Printf("%-9s | %-56s | %-4s | %-5s | %s\n", "invariant", "fault", "seed", "steps", "caught by")
+	for _, r := range planted {
+		by := r.caught
+		if by == "" {
+			by = "not caught"
+		} else {
+			caught++
+		}
+		fmt.Printf("%-9d | %-56s | %-4d | %-5d | %s\n", r.invariant, r.fault, r.seed, r.steps, by)
+	}
+	fmt.Printf("mutants: planted=%d caught=%d\n", len(planted), caught)
+}
--- a/internal/standin/fuzz/oracle_test.go
+++ b/internal/standin/fuzz/oracle_test.go
@@ -57,13 +57,6 @@
 	}
 }
 
-// calm reports whether there was no unplanned fault for a while. Planned changes
-// are no faults.
-func (o *oracle) calm(d clock.Millis) bool {
-	w := o.w
-	return !w.networkFaulty() && !w.platform.outage && w.now-max(w.networkFault, w.controlFault, w.processFault) >= d
-}
-
 // served reports whether packets of clients reach p by the page: network and p
 // had no fault lately, and some balancer is ready.
 func (o *oracle) served(p *process) bool {
@@ -72,29 +65,29 @@
 		return false
 	}
 	for _, b := range w.live(true) {
-		if b.ready >= 0 && w.now-max(b.ready, b.faulted) >= settleTime {
+		if b.ready >= 0 && w.now-b.ready >= idleTimeout && w.now-b.faulted >= settleTime {
 			return true
 		}
 	}
 	return false
 }
 
-// sent checks invariant 1 for one packet. A packet may be lost after any fault,
-// and while its owner is new, because a sibling that does not know the owner of a
-// relayed datagram drops it (section 3).
-func (o *oracle) sent(m *message, b *process, service int) {
+// sent checks invariant 1 for one packet. A packet may be lost after a fault of the
+// network, a balancer or its owner, and while its owner is new, because a sibling
+// that does not know the owner of a relayed datagram drops it (section 3).
+func (o *oracle) sent(m *message, b *process) {
 	f := m.flow
-	if m.kind == messageInitial || service != f.service {
+	if m.kind == messageInitial || m.service != f.service {
 		return
 	}
 	o.packets++
 	known := f.owner.serving >= 0 && o.w.now-f.owner.serving >= knownTime
-	if !known || !o.calm(settleTime) {
+	if !known || !o.connected() || o.w.now-f.owner.faulted < settleTime {
 		return
 	}
 	o.checkedPackets++
 	o.w.schedule(deliveryTime, nil, func() {
-		if !m.delivered && f.state == flowOpen && o.calm(settleTime) {
+		if !m.delivered && f.state == flowOpen && f.owner.running && o.connected() && o.w.now-f.owner.faulted >= settleTime {
 			o.fail(1, "a packet of flow %d through %s did not reach its owner %s", f.id, b, f.owner)
 		}
 	})
@@ -108,10 +101,11 @@
 	}
 }
 
-// entered checks invariant 2.
-func (o *oracle) entered(p *process, f *flow) {
-	if p.service != f.service {
-		o.fail(2, "a packet of flow %d for %s entered %s of %s", f.id, services[f.service], p, services[p.service])
+// entered checks invariant 2. The address to which a client sent a packet tells
+// the service for which it is (section 3).
+func (o *oracle) entered(p *process, m *message) {
+	if p.service != m.service {
+		o.fail(2, "a packet of flow %d for %s entered %s of %s", m.flow.id, services[m.service], p, services[p.service])
 	}
 }
 
@@ -132,7 +126,7 @@
 	}
 	for _, q := range w.live(false) {
 		if q != p && q.service == p.service && !q.leaving && q.serving >= 0 &&
-			w.now-max(q.serving, q.faulted) >= settleTime {
+			w.now-q.serving >= 2*knownTime && w.now-q.faulted >= settleTime {
 			return true
 		}
 	}
@@ -204,7 +198,7 @@
 // sidecar that cannot be reached cannot answer.
 func (o *oracle) unanswered(a *attempt) {
 	p := a.flow.owner
-	if a.flow.state != flowOpen || !o.served(p) || !o.calm(settleTime) {
+	if a.flow.state != flowOpen || !o.served(p) || !o.connected() {
 		return
 	}
 	if p.leaving {
--- a/internal/standin/fuzz/platform_test.go
+++ b/internal/standin/fuzz/platform_test.go
@@ -178,7 +178,7 @@
 		p.readSince = -1
 		return
 	}
-	if f.outage || p.readSince == f.commits {
+	if f.outage || !p.w.decisions.reads(p) {
 		return
 	}
 	documents, err := f.client.Contracts(context.Background())
--- a/internal/standin/fuzz/process_test.go
+++ b/internal/standin/fuzz/process_test.go
@@ -133,13 +133,8 @@
 
 // announce tells the watchers the state, as the sidecar's node does.
 func (p *process) announce() {
-	state, weight := membership.StateServing, membership.MaxWeight
-	switch _, inEffect := p.serviceInEffect(); {
-	case p.leaving:
-		state, weight = membership.StateLeaving, 0
-	case !inEffect:
-		state, weight = membership.StateJoining, 0
-	case p.serving < 0:
+	state, weight := p.w.decisions.announced(p)
+	if state == membership.StateServing && p.serving < 0 {
 		p.serving = p.w.now
 	}
 	if self := p.sidecar.Self(); self.State() != state || self.Weight() != weight {
@@ -147,6 +142,18 @@
 	}
 }
 
+func (p *process) announced() (membership.State, int) {
+	_, inEffect := p.serviceInEffect()
+	switch {
+	case p.leaving:
+		return membership.StateLeaving, 0
+	case !inEffect:
+		return membership.StateJoining, 0
+	default:
+		return membership.StateServing, membership.MaxWeight
+	}
+}
+
 // stop begins a planned stop.
 func (p *process) stop() {
 	if p.leaving {
@@ -218,7 +225,7 @@
 		return
 	}
 	if service, ok := p.serviceInEffect(); ok {
-		p.deliver(p.admission.Configure(limits(service), p.w.now))
+		p.w.decisions.configure(p, limits(service))
 	}
 }
 
--- a/internal/standin/fuzz/request_test.go
+++ b/internal/standin/fuzz/request_test.go
@@ -24,7 +24,9 @@
 	booking bool
 	body    string
 	// ticket is the one that the client uses; it changes only after "not run".
-	ticket string
+	// tickets are all that it had.
+	ticket  string
+	tickets []string
 	// follow makes the client use a new ticket at once.
 	follow bool
 	done   bool
@@ -78,6 +80,7 @@
 		o.done = true
 	case got.notRun && got.ticket != "" && o.ticket == a.token:
 		o.ticket = got.ticket
+		o.tickets = append(o.tickets, got.ticket)
 		if o.follow {
 			w.request(a.flow, o, o.ticket)
 		}
@@ -269,7 +272,7 @@
 
 func (p *process) execute(e *exchange, done func(answer)) {
 	w := p.w
-	closed := p.leaving && w.now-p.left >= leavingGrace
+	closed := w.decisions.closed(p)
 	to, free := sibling.Sibling{}, false
 	if !e.handedOff {
 		to, free = p.exchange.Free(w.now)
@@ -338,7 +341,7 @@
 
 // afterHandOff queues here what no sibling took.
 func (p *process) afterHandOff(e *exchange, done func(answer)) {
-	if p.leaving && p.w.now-p.left >= leavingGrace {
+	if p.w.decisions.closed(p) {
 		done(notRun())
 		return
 	}
@@ -348,7 +351,7 @@
 // run calls the upstream, which may not start the work, or break off after it.
 func (p *process) run(e *exchange, id admission.ID, done func(answer)) {
 	w := p.w
-	if w.random.IntN(20) == 0 {
+	if w.random.IntN(8) == 0 {
 		w.schedule(w.latency(), p, func() {
 			p.deliver(p.admission.Abandon(id, w.now))
 			done(notRun())
--- a/internal/standin/fuzz/world_test.go
+++ b/internal/standin/fuzz/world_test.go
@@ -79,16 +79,16 @@
 	cuts        map[[2]int]bool
 	partitioned map[string]bool
 	faulty      bool
-	// networkFault, controlFault and processFault are the last times of a fault
-	// of the network, of a balancer or the platform, and of any process.
-	networkFault, controlFault, processFault clock.Millis
+	// networkFault and controlFault are the last times of a fault of the network,
+	// and of a balancer or the platform.
+	networkFault, controlFault clock.Millis
 }
 
 func newWorld(seed uint64, d decisions) *world {
 	w := &world{
 		random: rand.New(rand.NewPCG(seed, 1)), decisions: d,
 		cuts: map[[2]int]bool{}, partitioned: map[string]bool{},
-		networkFault: -clock.Minute, controlFault: -clock.Minute, processFault: -clock.Minute,
+		networkFault: -clock.Minute, controlFault: -clock.Minute,
 	}
 	w.oracle = newOracle(w)
 	w.keys = newRotation()
@@ -233,7 +233,7 @@
 }
 
 func (w *world) noteProcessFault(p *process) {
-	p.faulted, w.processFault = w.now, w.now
+	p.faulted = w.now
 	if p.balancer != nil {
 		w.controlFault = w.now
 	}
