fuzz: Keep the order of control streams

The trace: its first message on a Sync stream and the digest that it sent 2 ms later arrived in the reverse order, the neighbour ignored the digest of a stranger, and the joining balancer waited for the next digest.

Changing the product was ruled out because no real stream shows this.

--- a/internal/standin/fuzz/decisions_test.go
+++ b/internal/standin/fuzz/decisions_test.go
@@ -1,6 +1,8 @@
 package fuzz_test
 
 import (
+	"net/netip"
+
 	"github.com/orioledyke/orioledyke/internal/balancer/routing"
 	"github.com/orioledyke/orioledyke/internal/common/identity"
 	"github.com/orioledyke/orioledyke/internal/control/contract"
@@ -24,6 +26,7 @@
 	closed        func(p *process) bool
 	announced     func(p *process) (membership.State, int)
 	configure     func(p *process, config admission.Config)
+	heard         func(p *process, flow, balancer netip.AddrPort)
 	reads         func(b *process) bool
 	contracts     func(p *process, received []membership.Contract) []membership.Contract
 	received      func(b *process, m *controlpb.SyncMessage)
@@ -52,6 +55,7 @@
 		closed:    func(p *process) bool { return p.leaving && p.w.now-p.left >= leavingGrace },
 		announced: func(p *process) (membership.State, int) { return p.announced() },
 		configure: func(p *process, config admission.Config) { p.deliver(p.admission.Configure(config, p.w.now)) },
+		heard:     func(p *process, flow, balancer netip.AddrPort) { p.paths.Heard(flow, balancer, p.w.now) },
 		reads:     func(b *process) bool { return b.readSince != b.w.platform.commits },
 		contracts: func(_ *process, received []membership.Contract) []membership.Contract { return received },
 		received:  func(*process, *controlpb.SyncMessage) {},
--- a/internal/standin/fuzz/mutants_test.go
+++ b/internal/standin/fuzz/mutants_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 
 	"github.com/orioledyke/orioledyke/internal/balancer/routing"
@@ -98,6 +99,15 @@
 		{7, "sidecar stops after a fixed time", func(d *decisions) {
 			d.drained = func(p *process) bool { return len(p.openStreams()) == 0 }
 		}},
+		{7, "replies keep to the first balancer of a flow", func(d *decisions) {
+			heard := d.heard
+			d.heard = func(p *process, flow, balancer netip.AddrPort) {
+				if first, ok := p.paths.Choose(flow); ok {
+					balancer = first
+				}
+				heard(p, flow, balancer)
+			}
+		}},
 		{8, "balancer drops every second contract that it hears", dropContracts},
 		{8, "reader does not follow changes", func(d *decisions) {
 			d.reads = func(b *process) bool { return b.readSince < 0 }
--- a/internal/standin/fuzz/process_test.go
+++ b/internal/standin/fuzz/process_test.go
@@ -117,6 +117,7 @@
 		}
 		p.readPlatform()
 		if p.leaving && w.now-max(p.left+fabricDelay, p.inbound) >= balancerQuiet {
+			w.stopped = w.now
 			w.apply(p, p.balancer.SetState(w.now, membership.StateLeft))
 			w.crash(p, true)
 		}
@@ -160,6 +161,7 @@
 		return
 	}
 	p.leaving, p.left = true, p.w.now
+	p.w.stopped = p.w.now
 	if p.balancer != nil {
 		p.w.apply(p, p.balancer.SetState(p.w.now, membership.StateLeaving))
 		return
@@ -170,6 +172,7 @@
 
 // exit ends a planned stop of a sidecar. Flows without a request end with it.
 func (p *process) exit() {
+	p.w.stopped = p.w.now
 	p.w.oracle.stopped(p)
 	for _, s := range p.sessions {
 		if s.flow.owner == p && s.flow.state == flowOpen {
--- a/internal/standin/fuzz/stream_test.go
+++ b/internal/standin/fuzz/stream_test.go
@@ -15,6 +15,9 @@
 	id     membership.StreamID
 	other  *end
 	silent bool
+	// arrival is when the last message arrives. Without faults a stream keeps the
+	// order of its messages, as TCP does.
+	arrival clock.Millis
 }
 
 // apply does what the membership state machine of p asks for.
@@ -142,6 +145,10 @@
 			delay += w.lateness()
 		}
 	}
+	if !w.faulty {
+		delay = max(delay, s.arrival-w.now)
+		s.arrival = w.now + delay
+	}
 	remote := s.other
 	for i := range copies {
 		// Messages are encoded, so that processes share no memory.
--- a/internal/standin/fuzz/world_test.go
+++ b/internal/standin/fuzz/world_test.go
@@ -82,6 +82,8 @@
 	// networkFault and controlFault are the last times of a fault of the network,
 	// and of a balancer or the platform.
 	networkFault, controlFault clock.Millis
+	// stopped is when a planned stop last began or ended.
+	stopped clock.Millis
 }
 
 func newWorld(seed uint64, d decisions) *world {
