fuzz: Check sooner after faults, and balancers that become ready

The oracle waited a minute after a fault before it judged packets and contracts, which is longer than what section 4 needs, and it did not judge what a joining balancer holds when it becomes ready.

It now waits 20 s: 3.5 s for the declaration of a dead member and at most 15 s of backoff. A balancer must be ready only with every contract accepted 4 s before.

--- a/internal/standin/fuzz/oracle_test.go
+++ b/internal/standin/fuzz/oracle_test.go
@@ -10,9 +10,9 @@
 
 const (
 	// settleTime after a fault covers what section 4 needs to repair it: the
-	// backoff before a peer is tried again (15 s), two digests (20 s), and the
-	// declaration of a member that no watcher heard (10 s).
-	settleTime = clock.Minute
+	// declaration of a dead member (3.5 s) and the longest backoff before a peer is
+	// tried again (15 s).
+	settleTime = 20 * clock.Second
 	// leaverLimit and contractLimit are the figures of invariants 6 and 8.
 	leaverLimit   = 3 * clock.Second
 	contractLimit = 4 * clock.Second
@@ -244,6 +244,21 @@
 	}
 }
 
+// becameReady checks invariant 8 at a balancer that joined: clients reach it from
+// now on.
+func (o *oracle) becameReady(b *process) {
+	if !o.connected() {
+		return
+	}
+	for _, name := range written {
+		for _, r := range o.history[name] {
+			if r.at <= o.w.now-contractLimit && o.applying[b][name] < r.Revision {
+				o.fail(8, "%s is ready with revision %d of %s, accepted was %d at %d ms", b, o.applying[b][name], name, r.Revision, r.at)
+			}
+		}
+	}
+}
+
 // applied checks that a process never reverts and has in effect what was accepted.
 func (o *oracle) applied(p *process, name string, number uint64, changeID string) {
 	if o.applying[p] == nil {
--- a/internal/standin/fuzz/process_test.go
+++ b/internal/standin/fuzz/process_test.go
@@ -114,6 +114,7 @@
 		w.apply(p, p.balancer.Tick(w.now))
 		if p.ready < 0 && p.balancer.Ready() {
 			p.ready = w.now
+			w.oracle.becameReady(p)
 		}
 		p.readPlatform()
 		if p.leaving && w.now-max(p.left+fabricDelay, p.inbound) >= balancerQuiet {
