membership: Try a new balancer at an old address at once

Found by make fuzz, in a case without any fault: planned leaves left one balancer, and members kept trying the addresses of those that had left, with a growing delay of up to 15 s. A balancer then joined at such an address, became the watcher of these members by rendezvous hash, waited 10 s for a first heartbeat and declared the members dead, although they ran and announced themselves elsewhere. Their flows lost packets, which breaks invariant 1.

A delay now ends when another balancer is announced at the address: a sidecar compares IDs with the list that its watcher sent before, a balancer does so when a record is new. Watchers compare their list by ID too, because addresses alone hide a replaced balancer.

A longer wait for the first heartbeat was ruled out: it would delay the declaration of members that die together with their watchers.

What remains: a member whose address of a watcher failed because of a cut, not of another process, still waits for its delay.

--- a/internal/control/membership/balancer.go
+++ b/internal/control/membership/balancer.go
@@ -303,6 +303,11 @@
 	if r.Role() == RoleBalancer && (!known || old.State() != r.State()) {
 		b.view.stale = true
 	}
+	if r.Role() == RoleBalancer && !known && !r.State().Gone() {
+		// What failed at its address was another balancer.
+		b.announcer.backoff.succeeded(r.Control())
+		b.linkBackoff.succeeded(r.Control())
+	}
 	b.emit(r)
 	b.notifySessions(r)
 	if from != nil {
--- a/internal/control/membership/session.go
+++ b/internal/control/membership/session.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"net/netip"
 	"slices"
 
 	"github.com/orioledyke/orioledyke/internal/common/clock"
@@ -25,8 +24,9 @@
 	// removed are members whose records the table does not hold any more.
 	removed  []uint64
 	contract bool
-	// balancers is the list that was sent last.
-	balancers      []netip.AddrPort
+	// balancers is the list that was sent last. A balancer that starts at the
+	// address of another one is a change.
+	balancers      []identity.OwnerID
 	balancersStale bool
 	complete       bool
 }
@@ -111,11 +111,14 @@
 
 func (b *Balancer) fillBalancers(s *session, self Record, m *controlpb.AnnounceResponse) {
 	records := b.watchersOf(self, CandidateCount)
-	addresses := controlAddresses(records)
-	if slices.Equal(addresses, s.balancers) {
+	ids := make([]identity.OwnerID, len(records))
+	for i, r := range records {
+		ids[i] = r.ID()
+	}
+	if slices.Equal(ids, s.balancers) {
 		return
 	}
-	s.balancers = addresses
+	s.balancers = ids
 	for _, r := range records {
 		m.Balancers = append(m.Balancers, r.Member())
 	}
--- a/internal/control/membership/sidecar.go
+++ b/internal/control/membership/sidecar.go
@@ -18,6 +18,8 @@
 	self       Record
 	announcer  *announcer
 	candidates []netip.AddrPort
+	// balancers are the balancers at the addresses of candidates.
+	balancers  map[netip.AddrPort]identity.OwnerID
 	seeds      []netip.AddrPort
 	siblings   *siblings
 	expired    clock.Millis
@@ -150,14 +152,25 @@
 	}
 }
 
+// receiveBalancers takes the next candidates. A balancer that is new at its
+// address is tried at once, whatever failed there before: as a new watcher it
+// declares this member dead if it hears nothing.
 func (s *Sidecar) receiveBalancers(members []*controlpb.Member) {
 	if len(members) == 0 {
 		return
 	}
 	s.candidates = s.candidates[:0]
+	balancers := map[netip.AddrPort]identity.OwnerID{}
 	for _, m := range members {
-		if r, err := ParseMember(m); err == nil && r.Control().IsValid() {
-			s.candidates = append(s.candidates, r.Control())
+		r, err := ParseMember(m)
+		if err != nil || !r.Control().IsValid() {
+			continue
+		}
+		s.candidates = append(s.candidates, r.Control())
+		balancers[r.Control()] = r.ID()
+		if s.balancers[r.Control()] != r.ID() {
+			s.announcer.backoff.succeeded(r.Control())
 		}
 	}
+	s.balancers = balancers
 }
--- a/internal/control/membership/stateful_test.go
+++ b/internal/control/membership/stateful_test.go
@@ -309,3 +309,22 @@
 	actions := b.Tick(200)
 	c.Assert(actions.OpenSync, qt.HasLen, 0)
 }
+
+// TestNewWatcherAtOldAddress guards against a balancer that starts where another
+// one ended and declares live members dead, because they still wait before they
+// try this address again.
+func TestNewWatcherAtOldAddress(t *testing.T) {
+	for wait := 9 * clock.Second; wait <= 20*clock.Second; wait += 500 {
+		c := qt.New(t)
+		n := newRunningNetwork(t, uint64(wait))
+		n.advance(10 * clock.Second)
+		// With one balancer left, members try the addresses of the others in vain.
+		for _, i := range []int{0, 1, 2, 7, 10} {
+			n.leave(n.at(i))
+		}
+		n.advance(wait)
+		n.start(1)
+		n.advance(20 * clock.Second)
+		c.Check(n.killed, qt.HasLen, 0, qt.Commentf("started after %d ms", wait))
+	}
+}
