fuzz: Reach the limits of ticket stores

Cases end before a ticket of 5 minutes expires, and the 65,536 records of a store never fill. The stores of the harness now have a lifetime of 20 s, a grace period of 4 s, 6 records and 32 bytes, so that expiry, full stores and answers without a kept body occur. A client that follows a ticket does so only after 428, because a full store refuses each new one at once.

--- a/internal/standin/fuzz/process_test.go
+++ b/internal/standin/fuzz/process_test.go
@@ -25,6 +25,11 @@
 	// balancerQuiet how long the balancer waits after the last datagram.
 	fabricDelay   = clock.Second
 	balancerQuiet = 2 * clock.Second
+	// Limits of ticket stores, so small that cases reach them.
+	ticketLifetime = 20 * clock.Second
+	ticketGrace    = 4 * clock.Second
+	ticketRecords  = 6
+	ticketBytes    = 32
 )
 
 // process is one incarnation at a place: the real state machines of a balancer
@@ -99,7 +104,10 @@
 	p.paths = client.NewPaths()
 	p.exchange = sibling.NewExchange(sibling.ExchangeConfig{Self: p.id, Send: p.sendLoad})
 	p.admission = admission.New(admission.Config{}, w.now)
-	p.tickets = ticket.NewStore(ticket.Config{Self: p.id, Service: p.serviceID})
+	p.tickets = ticket.NewStore(ticket.Config{
+		Self: p.id, Service: p.serviceID, Lifetime: ticketLifetime, Grace: ticketGrace,
+		MaxRecords: ticketRecords, MaxBytes: ticketBytes,
+	})
 	p.held, p.gate, p.waiting = map[*flow]*session{}, map[admission.ID]func(admission.Action){}, map[uint64][]func(){}
 	p.dispatcher = client.NewDispatcher(client.DispatcherConfig{
 		Self: p.id, Service: p.serviceID,
--- a/internal/standin/fuzz/request_test.go
+++ b/internal/standin/fuzz/request_test.go
@@ -81,7 +81,7 @@
 	case got.notRun && got.ticket != "" && o.ticket == a.token:
 		o.ticket = got.ticket
 		o.tickets = append(o.tickets, got.ticket)
-		if o.follow {
+		if o.follow && got.status == http.StatusPreconditionRequired {
 			w.request(a.flow, o, o.ticket)
 		}
 	}
