fuzz: Run short mutants with the tests

Each mutant now names a seed that catches it early; go test starts there, and make mutants starts at SEED with at most 300 cases.

--- a/internal/standin/fuzz/flow_test.go
+++ b/internal/standin/fuzz/flow_test.go
@@ -183,18 +183,18 @@
 
 func (w *world) lateness() clock.Millis { return clock.Millis(w.random.Int64N(int64(maxLateness))) }
 
-func (b *process) fromClient(service int, packet []byte, from netip.AddrPort) {
-	b.inbound = b.w.now
-	if !b.opens(service) {
+func (p *process) fromClient(service int, packet []byte, from netip.AddrPort) {
+	p.inbound = p.w.now
+	if !p.opens(service) {
 		return
 	}
 	id := identity.NewServiceID(customer, services[service])
-	d := b.w.decisions.route(b, id, packet)
+	d := p.w.decisions.route(p, id, packet)
 	if !d.Forward() {
 		return
 	}
 	header := tunnel.Header{Type: tunnel.TypeInbound, Flags: d.Flags, Service: id, Owner: d.Owner, Client: from}
-	b.sendTunnel(header, packet, d.Target, netip.AddrPort{})
+	p.sendTunnel(header, packet, d.Target, netip.AddrPort{})
 }
 
 // sendTunnel seals a datagram. via is the balancer of a relayed one.
--- a/internal/standin/fuzz/mutants_test.go
+++ b/internal/standin/fuzz/mutants_test.go
@@ -18,11 +18,13 @@
 )
 
 // mutantCases limits the cases in which a mutant must be caught.
-const mutantCases = 60
+const mutantCases = 300
 
-// mutant is a deliberate fault in one decision.
+// mutant is a deliberate fault in one decision. seed is a case that catches it
+// early.
 type mutant struct {
 	invariant int
+	seed      int
 	fault     string
 	plant     func(d *decisions)
 }
@@ -31,7 +33,7 @@
 	mutant
 	// caught is what the oracle said; empty if it missed the fault.
 	caught string
-	seed   int
+	by     int
 	steps  int
 }
 
@@ -42,11 +44,11 @@
 
 func mutants() []mutant {
 	return []mutant{
-		{1, "balancer moves flows of a leaver to a sibling", moveFlowsOfLeaver},
-		{1, "sidecar stops before its streams end", func(d *decisions) {
+		{1, 1000, "balancer moves flows of a leaver to a sibling", moveFlowsOfLeaver},
+		{1, 1000, "sidecar stops before its streams end", func(d *decisions) {
 			d.drained = func(p *process) bool { return p.active == 0 && p.unanswered() == 0 }
 		}},
-		{1, "leaver is announced as left at once", func(d *decisions) {
+		{1, 1000, "leaver is announced as left at once", func(d *decisions) {
 			announced := d.announced
 			d.announced = func(p *process) (membership.State, int) {
 				if p.leaving {
@@ -55,7 +57,7 @@
 				return announced(p)
 			}
 		}},
-		{2, "sidecar takes datagrams for other services and owners", func(d *decisions) {
+		{2, 2002, "sidecar takes datagrams for other services and owners", func(d *decisions) {
 			dispatch := d.dispatch
 			d.dispatch = func(p *process, h tunnel.Header, packet []byte) client.Dispatch {
 				if h.Type == tunnel.TypeInbound {
@@ -64,26 +66,26 @@
 				return dispatch(p, h, packet)
 			}
 		}},
-		{2, "balancer routes by connection ID, whatever the socket", routeForeign},
-		{3, "a ticket is not bound to its request", func(d *decisions) {
+		{2, 0, "balancer routes by connection ID, whatever the socket", routeForeign},
+		{3, 1000, "a ticket is not bound to its request", func(d *decisions) {
 			begin := d.begin
 			d.begin = func(p *process, t ticket.Ticket, _ ticket.Digest) (ticket.State, ticket.Response) {
 				return begin(p, t, ticket.Digest{})
 			}
 		}},
-		{3, "a new contract forgets the queued requests", func(d *decisions) {
+		{3, 5001, "a new contract forgets the queued requests", func(d *decisions) {
 			d.configure = func(p *process, config admission.Config) {
 				clear(p.gate)
 				p.admission = admission.New(config, p.w.now)
 			}
 		}},
-		{4, "a refusal is not recorded", forgetRefusals},
-		{4, "a repeat of a running request is refused as not run", replaceState(ticket.Running, ticket.Refused)},
-		{5, "a repeat of a finished request runs again", replaceState(ticket.Done, ticket.Run)},
-		{5, "any sidecar runs a ticket", func(d *decisions) {
+		{4, 5000, "a refusal is not recorded", forgetRefusals},
+		{4, 5000, "a repeat of a running request is refused as not run", replaceState(ticket.Running, ticket.Refused)},
+		{5, 2000, "a repeat of a finished request runs again", replaceState(ticket.Done, ticket.Run)},
+		{5, 5000, "any sidecar runs a ticket", func(d *decisions) {
 			d.runsHere = func(*process, ticket.Ticket) bool { return true }
 		}},
-		{6, "leaver is neither announced nor passes on new flows", func(d *decisions) {
+		{6, 1000, "leaver is neither announced nor passes on new flows", func(d *decisions) {
 			announced := d.announced
 			d.announced = func(p *process) (membership.State, int) {
 				if p.leaving {
@@ -93,13 +95,13 @@
 			}
 			d.load = func(p *process) client.Load { return client.Load{Flows: len(p.sessions)} }
 		}},
-		{6, "leaver keeps starting requests", func(d *decisions) {
+		{6, 5000, "leaver keeps starting requests", func(d *decisions) {
 			d.closed = func(*process) bool { return false }
 		}},
-		{7, "sidecar stops after a fixed time", func(d *decisions) {
+		{7, 11, "sidecar stops after a fixed time", func(d *decisions) {
 			d.drained = func(p *process) bool { return len(p.openStreams()) == 0 }
 		}},
-		{7, "replies keep to the first balancer of a flow", func(d *decisions) {
+		{7, 1001, "replies keep to the first balancer of a flow", func(d *decisions) {
 			heard := d.heard
 			d.heard = func(p *process, flow, balancer netip.AddrPort) {
 				if first, ok := p.paths.Choose(flow); ok {
@@ -108,11 +110,11 @@
 				heard(p, flow, balancer)
 			}
 		}},
-		{8, "balancer drops every second contract that it hears", dropContracts},
-		{8, "reader does not follow changes", func(d *decisions) {
+		{8, 0, "balancer drops every second contract that it hears", dropContracts},
+		{8, 4000, "reader does not follow changes", func(d *decisions) {
 			d.reads = func(b *process) bool { return b.readSince < 0 }
 		}},
-		{8, "balancer applies late contracts", applyLate},
+		{8, 18, "balancer applies late contracts", applyLate},
 	}
 }
 
@@ -220,7 +222,7 @@
 		d := realDecisions()
 		m.plant(&d)
 		got := rapid.Custom(func(t *rapid.T) outcome { return runCase(t, d) }).Example(seed)
-		found.seed, found.steps = seed, found.steps+got.steps
+		found.by, found.steps = seed, found.steps+got.steps
 		if got.invariant == m.invariant {
 			found.caught = got.violation
 			return found
@@ -229,10 +231,15 @@
 	return found
 }
 
-// TestMutants guards against an oracle that misses a broken decision.
+// TestMutants guards against an oracle that misses a broken decision. Without a
+// summary it starts with the known seed of each mutant, which takes fewer steps.
 func TestMutants(t *testing.T) {
 	for _, m := range mutants() {
-		found := hunt(m, int(*seedFlag))
+		first := m.seed
+		if *summaryFlag == "mutants" {
+			first = int(*seedFlag)
+		}
+		found := hunt(m, first)
 		planted = append(planted, found)
 		if found.caught == "" {
 			t.Errorf("invariant %d: %s: not caught in %d steps", m.invariant, m.fault, found.steps)
@@ -250,7 +257,7 @@
 		} else {
 			caught++
 		}
-		fmt.Printf("%-9d | %-56s | %-4d | %-5d | %s\n", r.invariant, r.fault, r.seed, r.steps, by)
+		fmt.Printf("%-9d | %-56s | %-4d | %-5d | %s\n", r.invariant, r.fault, r.by, r.steps, by)
 	}
 	fmt.Printf("mutants: planted=%d caught=%d\n", len(planted), caught)
 }
--- a/internal/standin/fuzz/oracle_test.go
+++ b/internal/standin/fuzz/oracle_test.go
@@ -34,7 +34,7 @@
 	history   map[string][]revision
 	applying  map[*process]map[string]uint64
 	// counts of what was checked.
-	streams, packets, checkedPackets, requests, runCount, notRunCount, commits int
+	packets, checkedPackets, requests, runCount, notRunCount, commits int
 }
 
 type revision struct {
--- a/internal/standin/fuzz/process_test.go
+++ b/internal/standin/fuzz/process_test.go
@@ -55,10 +55,10 @@
 	table    *routing.Table
 	router   routing.Router
 	reader   bool
-	// read is the number of platform changes that this reader has seen.
-	read, readSince int
-	ready           clock.Millis
-	inbound         clock.Millis
+	// readSince is the number of platform changes that this reader has seen.
+	readSince int
+	ready     clock.Millis
+	inbound   clock.Millis
 
 	sidecar    *membership.Sidecar
 	service    int
--- a/internal/standin/fuzz/request_test.go
+++ b/internal/standin/fuzz/request_test.go
@@ -29,7 +29,6 @@
 	tickets []string
 	// follow makes the client use a new ticket at once.
 	follow bool
-	done   bool
 }
 
 // attempt is one HTTP request of an order on one flow.
@@ -75,10 +74,7 @@
 	got := a.flow.owner.held[a.flow].answers[a]
 	w.oracle.response(a, got)
 	o := a.order
-	switch {
-	case got.status == http.StatusOK:
-		o.done = true
-	case got.notRun && got.ticket != "" && o.ticket == a.token:
+	if got.notRun && got.ticket != "" && o.ticket == a.token {
 		o.ticket = got.ticket
 		o.tickets = append(o.tickets, got.ticket)
 		if o.follow && got.status == http.StatusPreconditionRequired {
