--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := bin
 TOOLS := $(abspath $(BIN)/tools)
 
-.PHONY: all build tools lint format generate test demo prove bench capacity
+.PHONY: all build tools lint format generate test demo prove bench capacity fuzz mutants
 
 all: build
 
@@ -45,3 +45,17 @@
 	$(GO) test -run '^$$' -bench Services -benchtime 1x ./internal/balancer/client
 	$(GO) test -run '^$$' -bench Flows -benchtime 1x ./internal/sidecar/client
 	$(GO) test -run '^$$' -bench . ./internal/balancer/routing
+
+SEED ?= 20261204
+STEPS ?= 20000
+
+$(BIN)/fuzz.test: FORCE
+	$(GO) test -c -o $@ ./internal/standin/fuzz
+
+FORCE:
+
+fuzz: $(BIN)/fuzz.test
+	@$< -test.run '^TestFuzz$$' -fuzz.seed=$(SEED) -fuzz.steps=$(STEPS) -fuzz.summary=fuzz
+
+mutants: $(BIN)/fuzz.test
+	@$< -test.run '^TestMutants$$' -fuzz.seed=$(SEED) -fuzz.summary=mutants
