sibling: Exchange load every 100 ms

Half of the hand-offs were refused: a slot is in use for about 100 ms, and the loads by which a sibling is chosen were up to 200 ms old.

Change: the shortest interval between load messages is 100 ms. At most 40 datagrams a second, or 4.4 KB/s instead of 2.2 KB/s, which stays under 8 KB/s.

--- a/internal/sidecar/sibling/exchange.go
+++ b/internal/sidecar/sibling/exchange.go
@@ -13,7 +13,10 @@
 	// maxPartners limits the siblings that exchange load with this sidecar, and
 	// with it the control traffic.
 	maxPartners = 4
-	minInterval = clock.Millis(200)
+	// minInterval is short because a slot is in use for about 100 ms: with 200 ms
+	// half of the hand-offs found the slot taken. 4 partners then cost at most
+	// 4.4 KB/s.
+	minInterval = clock.Millis(100)
 	maxInterval = clock.Second
 	// loadRetention is how long a load message is used. Three lost messages in a
 	// row are unlikely from a sibling that is alive.
@@ -88,7 +91,7 @@
 	return e.siblings[i], true
 }
 
-// Tick sends the load to the partners if it is due: at most every 200 ms when it
+// Tick sends the load to the partners if it is due: at most every 100 ms when it
 // changed, and every second otherwise.
 func (e *Exchange) Tick(load Load, now clock.Millis) {
 	e.mutex.Lock()
