request: Start no queued work after the grace of leaving

A request that was queued within the first 2 s started whenever a slot became free, up to its deadline.

Change: when the grace ends, the queues are emptied. Each request goes to a sibling with a free slot or is refused as not run. TestLeavingQueue and TestLeavingQueueMoves guard it; the first one hangs without the change, because the request waits for its slot.

--- a/internal/sidecar/admission/admission.go
+++ b/internal/sidecar/admission/admission.go
@@ -239,6 +239,16 @@
 	return c.dispatch(now)
 }
 
+// Drain refuses all queued requests, because the upstream gets no new work.
+func (c *Controller) Drain(now clock.Millis) []Action {
+	c.accrue(now)
+	var actions []Action
+	for _, k := range c.kinds {
+		actions = append(actions, c.refuseQueue(k)...)
+	}
+	return actions
+}
+
 // Tick refuses queued requests that can no longer meet their deadline.
 func (c *Controller) Tick(now clock.Millis) []Action {
 	c.accrue(now)
--- a/internal/sidecar/request/execute.go
+++ b/internal/sidecar/request/execute.go
@@ -94,7 +94,7 @@
 		free = false
 	}
 	if closed || e.origin.Hop == sibling.HandedOff && h.isLeaving() {
-		return nil, &failure{shed: true, detail: "The service is moving to another host."}
+		return nil, leavingFailure()
 	}
 	action, f := e.acquire(free)
 	if f == nil && action.Type == admission.HandOff {
@@ -108,11 +108,27 @@
 		return nil, f
 	}
 	if action.Type != admission.Start {
+		if h.closed(h.config.Clock.Now()) {
+			return e.moveOn(body)
+		}
 		return nil, &failure{shed: true, retryAfter: action.RetryAfter, detail: "No slot is free before the deadline."}
 	}
 	return e.call(body, action.ID)
 }
 
+// moveOn passes on a request that was queued when the sidecar stopped to start new
+// work.
+func (e *exchange) moveOn(body *source) (*result, *failure) {
+	if to, ok := e.freeSibling(); ok {
+		return e.handOff(to, body)
+	}
+	return nil, leavingFailure()
+}
+
+func leavingFailure() *failure {
+	return &failure{shed: true, detail: "The service is moving to another host."}
+}
+
 // freeSibling returns a sibling that can take the request, which makes at most
 // one such hop.
 func (e *exchange) freeSibling() (sibling.Sibling, bool) {
--- a/internal/sidecar/request/gate.go
+++ b/internal/sidecar/request/gate.go
@@ -89,6 +89,13 @@
 	g.deliver(g.controller.Tick(g.clock.Now()))
 }
 
+// drain refuses all queued requests.
+func (g *gate) drain() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.deliver(g.controller.Drain(g.clock.Now()))
+}
+
 func (g *gate) configure(service contract.Service) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
--- a/internal/sidecar/request/handler.go
+++ b/internal/sidecar/request/handler.go
@@ -90,6 +90,9 @@
 			case <-ticks:
 				h.deadlines.expire(config.Clock.Now())
 				h.gate.tick()
+				if h.closed(config.Clock.Now()) {
+					h.gate.drain()
+				}
 				config.Siblings.Tick(h.Load(), config.Clock.Now())
 			case <-ctx.Done():
 				return
@@ -148,7 +151,8 @@
 }
 
 // Leave makes the sidecar issue no tickets and refuse those that it has not seen.
-// From two seconds later it refuses all new work that no sibling takes.
+// From two seconds later it refuses all work that was not started and that no
+// sibling takes.
 func (h *Handler) Leave() {
 	h.mutex.Lock()
 	if !h.leaving {
--- a/internal/sidecar/request/ticket_test.go
+++ b/internal/sidecar/request/ticket_test.go
@@ -150,6 +150,45 @@
 	c.Assert(n.handler.Drain(context.Background()), qt.IsNil)
 }
 
+// TestLeavingQueue guards against work that a leaving sidecar queued and starts
+// after it has stopped to take new work.
+func TestLeavingQueue(t *testing.T) {
+	c := qt.New(t)
+	a, b := pair(c)
+	b.handler.SetSiblings(nil)
+	a.exchange.Receive(b.owner, sibling.Load{Leaving: true}.Encode(), 0)
+	first := async(func() reply { return a.get("/lists/1") })
+	busy := <-a.upstream.arrived
+	second := async(func() reply { return a.get("/lists/2") })
+	a.until(func(l sibling.Load) bool { return l.Queued == 1 })
+	a.handler.Leave()
+	a.advance(2 * clock.Second)
+	c.Assert((<-second).header.Get("Outcome"), qt.Equals, "not-run")
+	busy.reply("1")
+	c.Assert((<-first).body, qt.Equals, "1")
+	c.Assert(a.upstream.runs.Load(), qt.Equals, int64(1))
+}
+
+// TestLeavingQueueMoves guards against a refusal of queued work when a sibling of a
+// leaving sidecar has a free slot.
+func TestLeavingQueueMoves(t *testing.T) {
+	c := qt.New(t)
+	a, b := pair(c)
+	a.exchange.Receive(b.owner, sibling.Load{}.Encode(), 0)
+	first := async(func() reply { return a.get("/lists/1") })
+	busy := <-a.upstream.arrived
+	second := async(func() reply { return a.get("/lists/2") })
+	a.until(func(l sibling.Load) bool { return l.Queued == 1 })
+	a.handler.Leave()
+	a.exchange.Receive(b.owner, sibling.Load{Slots: 1}.Encode(), 0)
+	a.advance(2 * clock.Second)
+	(<-b.upstream.arrived).reply("2")
+	c.Assert((<-second).body, qt.Equals, "2")
+	busy.reply("1")
+	c.Assert((<-first).body, qt.Equals, "1")
+	c.Assert(a.upstream.runs.Load(), qt.Equals, int64(1))
+}
+
 // TestForward guards against a second run on a sidecar that the ticket does not
 // name, and against "not run" where the named one may have run it.
 func TestForward(t *testing.T) {
--- a/internal/standin/measure/baseline_test.go
+++ b/internal/standin/measure/baseline_test.go
@@ -58,6 +58,7 @@
 	complete func(admission.ID, clock.Millis) []admission.Action
 	abandon  func(admission.ID, clock.Millis) []admission.Action
 	tick     func(clock.Millis) []admission.Action
+	drain    func(clock.Millis) []admission.Action
 	inUse    func() int
 	queued   func() int
 }
@@ -69,17 +70,17 @@
 			config.Kinds = append(config.Kinds, k.kind)
 		}
 		c := admission.New(config, 0)
-		return gate{admit: c.Admit, complete: c.Complete, abandon: c.Abandon, tick: c.Tick, inUse: c.InUse, queued: c.Queued}
+		return gate{admit: c.Admit, complete: c.Complete, abandon: c.Abandon, tick: c.Tick, drain: c.Drain, inUse: c.InUse, queued: c.Queued}
 	}
-	p0 := &plainQueue{urgency: map[string]int{}}
+	plain := &plainQueue{urgency: map[string]int{}}
 	if p == admitPriority {
 		for _, k := range kinds {
-			p0.urgency[k.kind.Name] = k.kind.Urgency
+			plain.urgency[k.kind.Name] = k.kind.Urgency
 		}
 	}
 	return gate{
-		admit: p0.admit, complete: p0.complete, abandon: p0.complete, tick: p0.dropLate,
-		inUse: func() int { return p0.running }, queued: func() int { return len(p0.waiting) },
+		admit: plain.admit, complete: plain.complete, abandon: plain.complete, tick: plain.dropLate, drain: plain.dropLate,
+		inUse: func() int { return plain.running }, queued: func() int { return len(plain.waiting) },
 	}
 }
 
--- a/internal/standin/measure/request_test.go
+++ b/internal/standin/measure/request_test.go
@@ -38,21 +38,39 @@
 	})
 }
 
+// closed reports whether the sidecar starts no new work.
+func (s *sidecar) closed() bool {
+	return s.leaving && s.world.time-s.left >= fromMillis(leavingGrace)
+}
+
 func (s *sidecar) attempt(r *request) {
-	to, free := sibling.Sibling{}, false
-	if s.world.policy.admission == admitReal {
-		to, free = s.exchange.Free(s.world.now())
+	if s.closed() {
+		s.moveOn(r)
+		return
 	}
-	closed := s.leaving && s.world.time-s.left >= fromMillis(leavingGrace)
-	if closed {
-		if free {
-			s.handOff(r, to, func() {})
+	to, free := s.freeSibling()
+	moveOn := func() {
+		if s.closed() {
+			s.moveOn(r)
 		}
-		return
 	}
-	if s.acquire(r, free, false, func() {}) == admission.HandOff {
-		s.handOff(r, to, func() { s.acquire(r, false, false, func() {}) })
+	if s.acquire(r, free, false, moveOn) == admission.HandOff {
+		s.handOff(r, to, func() { s.acquire(r, false, false, moveOn) })
+	}
+}
+
+// moveOn passes a request to a sibling or refuses it.
+func (s *sidecar) moveOn(r *request) {
+	if to, free := s.freeSibling(); free {
+		s.handOff(r, to, func() {})
+	}
+}
+
+func (s *sidecar) freeSibling() (sibling.Sibling, bool) {
+	if s.world.policy.admission != admitReal {
+		return sibling.Sibling{}, false
 	}
+	return s.exchange.Free(s.world.now())
 }
 
 func (s *sidecar) acquire(r *request, canHandOff, noQueue bool, refused func()) admission.ActionType {
@@ -128,7 +146,6 @@
 		s.countLate()
 	}
 	w.waited(r)
-	r.started = w.time
 	service := s.serviceTime(r)
 	elapsed := max(min(service, r.deadline-w.time), 0)
 	s.use(elapsed)
--- a/internal/standin/measure/sidecar_test.go
+++ b/internal/standin/measure/sidecar_test.go
@@ -109,6 +109,9 @@
 	s.whenAwake(func() {
 		now := s.world.now()
 		s.apply(s.gate.tick(now))
+		if s.closed() {
+			s.apply(s.gate.drain(now))
+		}
 		s.exchange.Tick(s.load(), now)
 		if s.world.time/tickPeriod%(weightPeriod/tickPeriod) == 0 {
 			s.announce()
--- a/internal/standin/measure/workload_test.go
+++ b/internal/standin/measure/workload_test.go
@@ -71,7 +71,6 @@
 	deadline micros
 	// sent is when the client sends it, and received when the first sidecar gets it.
 	sent, received micros
-	started micros
 	phone          *phone
 	// surplus marks the work of an overload.
 	surplus bool
