--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,9 @@
 BIN := bin
 TOOLS := $(abspath $(BIN)/tools)
 
-.PHONY: all build tools lint format generate test demo prove bench capacity fuzz mutants
+.PHONY: all build tools lint format generate test demo prove bench capacity measure fuzz mutants
+
+.PHONY: all build tools lint format generate test demo bench measure
 
 all: build
 
@@ -46,7 +48,6 @@
 	$(GO) test -run '^$$' -bench Flows -benchtime 1x ./internal/sidecar/client
 	$(GO) test -run '^$$' -bench . ./internal/balancer/routing
 
-SEED ?= 20261204
 STEPS ?= 20000
 
 $(BIN)/fuzz.test: FORCE
@@ -55,7 +56,12 @@
 FORCE:
 
 fuzz: $(BIN)/fuzz.test
-	@$< -test.run '^TestFuzz$$' -fuzz.seed=$(SEED) -fuzz.steps=$(STEPS) -fuzz.summary=fuzz
+	@$< -test.run '^TestFuzz$$' -fuzz.seed=$(or $(SEED),20261204) -fuzz.steps=$(STEPS) -fuzz.summary=fuzz
 
 mutants: $(BIN)/fuzz.test
-	@$< -test.run '^TestMutants$$' -fuzz.seed=$(SEED) -fuzz.summary=mutants
+	@$< -test.run '^TestMutants$$' -fuzz.seed=$(or $(SEED),20261204) -fuzz.summary=mutants
+
+# SEED sets the seed. Missed goals do not fail the run, because it is a measurement.
+measure:
+	@ORIOLEDYKE_MEASURE=1 ORIOLEDYKE_MEASURE_OUTPUT=$(abspath out/measure.json) SEED=$(or $(SEED),1) \
+		$(GO) test -count=1 -timeout 30m -run '^TestMeasure$$' -v ./internal/standin/measure | grep -v -E '^(=== RUN|--- PASS|PASS|ok) *'
--- a/internal/sidecar/admission/admission.go
+++ b/internal/sidecar/admission/admission.go
@@ -82,6 +82,10 @@
 	// maxCredit limits the slot time that a kind can be owed, so that a stalled
 	// upstream does not displace urgency for long after it recovers.
 	maxCredit = clock.Minute
+	// maxSaved limits the share that a kind without demand saves for its next
+	// requests. Arrivals are uneven, so a kind that saved nothing would get less
+	// than its share whenever its queue was empty for a moment.
+	maxSaved = 3 * clock.Second
 	// initialServiceTime stands in until a kind has been measured.
 	initialServiceTime = clock.Millis(100)
 	// serviceTimeWeight is the weight of a new sample in the mean service time.
@@ -235,6 +239,16 @@
 	return c.dispatch(now)
 }
 
+// Drain refuses all queued requests, because the upstream gets no new work.
+func (c *Controller) Drain(now clock.Millis) []Action {
+	c.accrue(now)
+	var actions []Action
+	for _, k := range c.kinds {
+		actions = append(actions, c.refuseQueue(k)...)
+	}
+	return actions
+}
+
 // Tick refuses queued requests that can no longer meet their deadline.
 func (c *Controller) Tick(now clock.Millis) []Action {
 	c.accrue(now)
