demo: Name late departures in the row of invariant 6

Cause: the row showed 0 ms when an upstream got no work after it began to leave. Change: it counts upstreams that got some, and names late ones with their time.

--- a/internal/standin/demo/points.go
+++ b/internal/standin/demo/points.go
@@ -1,6 +1,7 @@
 package demo
 
 import (
+	"cmp"
 	"fmt"
 
 	"github.com/orioledyke/orioledyke/internal/common/clock"
@@ -200,16 +201,17 @@
 
 func (e *evidence) leaving() point {
 	p := point{number: 6, title: "a leaving upstream gets no new work after 3 s", trials: len(e.departures)}
-	last := clock.Millis(0)
-	names := ""
+	names, work := "", 0
 	for _, d := range e.departures {
-		last = max(last, d.last)
+		if d.last > 0 {
+			work++
+		}
 		if d.last > leaveLimit {
 			p.failed++
-			names += " " + d.name
+			names += fmt.Sprintf(" %s after %d ms", d.name, d.last)
 		}
 	}
-	p.detail = fmt.Sprintf("last new work at an upstream after SIGTERM to its sidecar, with and without a drain: %d ms%s; not claimed: an upstream that drains while its sidecar stays was asked %d times after 3 s and shed", last, names, e.drained)
+	p.detail = fmt.Sprintf("upstreams with new work after SIGTERM to their sidecar, with and without a drain: %d, late:%s; not claimed: an upstream that drains while its sidecar stays was asked %d times after 3 s and shed", work, cmp.Or(names, " none"), e.drained)
 	return p
 }
 
