sidecar: Let the last responses arrive before flows are closed

Cause: a drained sidecar closed its flows as soon as the last handler had returned; what the client had not acknowledged yet was discarded. Found by reading. Ruled out: waiting without a limit, because clients keep idle flows open.

--- a/internal/sidecar/node/node.go
+++ b/internal/sidecar/node/node.go
@@ -40,6 +40,10 @@
 	// goAwayTime lets clients learn that the sidecar leaves, and siblings take
 	// over new flows, before idle flows are closed.
 	goAwayTime = 4 * time.Second
+	// lingerPolls times lingerPoll is how long the last responses may take to be
+	// acknowledged and repeated. Closing a flow discards what is not acknowledged.
+	lingerPoll  = 100 * clock.Millis(1)
+	lingerPolls = 30
 )
 
 // node holds the parts of a running sidecar.
@@ -358,11 +362,27 @@
 	if err := n.handler.Drain(ctx); err != nil {
 		n.logger.Warn("drain-incomplete", zap.Error(err))
 	}
+	waitForClients(ctx, n.flows, clock.SystemTicker(ctx, lingerPoll))
 	if err := n.server.Load().Close(); err != nil {
 		n.logger.Warn("drain-incomplete", zap.Error(err))
 	}
 }
 
+// waitForClients returns when clients have closed all flows, as they do after
+// GOAWAY and their last response, or after lingerPolls ticks.
+func waitForClients(ctx context.Context, flows func() int, ticks <-chan struct{}) {
+	for range lingerPolls {
+		if flows() == 0 {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks:
+		}
+	}
+}
+
 func (n *node) close() {
 	if n.telemetry == nil {
 		return
--- a/internal/sidecar/node/node_test.go
+++ b/internal/sidecar/node/node_test.go
@@ -39,3 +39,27 @@
 	c.Assert(n.startRequests(ctx), qt.IsNil)
 	c.Check(n.load().Flows, qt.Equals, 0)
 }
+
+// TestClientsGetLastResponses guards against a drained sidecar that closes flows
+// while the last response is not yet acknowledged, which discards it.
+func TestClientsGetLastResponses(t *testing.T) {
+	c := qt.New(t)
+	ticks := filled(lingerPolls)
+	open := 3
+	waitForClients(context.Background(), func() int {
+		open--
+		return open
+	}, ticks)
+	c.Check(open, qt.Equals, 0)
+	c.Check(len(ticks), qt.Equals, lingerPolls-2)
+	// A client that keeps its flow open does not hold the process.
+	waitForClients(context.Background(), func() int { return 1 }, filled(lingerPolls))
+}
+
+func filled(n int) <-chan struct{} {
+	ticks := make(chan struct{}, n)
+	for range n {
+		ticks <- struct{}{}
+	}
+	return ticks
+}
