node: Share what balancer and sidecar processes have in common

Cause: start, run and close stood twice, line by line, in the two nodes. Change: common/process holds identity, log, metrics, traces, key ring and tree; the sidecar's draining has a file of its own.

--- a/internal/balancer/node/metrics.go
+++ b/internal/balancer/node/metrics.go
@@ -11,7 +11,7 @@
 // metrics are collected, so that datagrams cost nothing more.
 func (n *node) registerMetrics() {
 	counter := func(name, help string, labels prometheus.Labels, read func() uint64) {
-		n.telemetry.Registry().MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		n.Registry().MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: metricsPrefix + name, Help: help, ConstLabels: labels,
 		}, func() float64 { return float64(read()) }))
 	}
@@ -25,7 +25,7 @@
 		counter("decisions_total", "Routing decisions by reason.", prometheus.Labels{"reason": reason.String()},
 			func() uint64 { return f.Decisions(reason) })
 	}
-	n.telemetry.Registry().MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+	n.Registry().MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: metricsPrefix + "members", Help: "Sidecars in the routing table.",
 	}, func() float64 { return float64(f.Table().Len()) }))
 }
--- a/internal/balancer/node/reader.go
+++ b/internal/balancer/node/reader.go
@@ -28,7 +28,7 @@
 }
 
 func newReader(ctx context.Context, n *node) *reader {
-	return &reader{ctx: ctx, node: n, logger: n.logger, peer: make(chan *peer.Balancer, 1)}
+	return &reader{ctx: ctx, node: n, logger: n.Logger(), peer: make(chan *peer.Balancer, 1)}
 }
 
 // bind names the peer that gets the contracts. Reading waits for it.
@@ -57,7 +57,7 @@
 // ctx has ended.
 func (r *reader) register(ctx context.Context) {
 	s := r.node.settings
-	_ = r.node.platform.RegisterSeed(ctx, s.DataCentre, r.node.self, s.ControlAddress)
+	_ = r.node.platform.RegisterSeed(ctx, s.DataCentre, r.node.Self(), s.ControlAddress)
 }
 
 // read publishes all contracts, and then every change until ctx ends.
--- a/internal/sidecar/node/metrics.go
+++ b/internal/sidecar/node/metrics.go
@@ -20,12 +20,12 @@
 		"overflowed":  &counters.Overflowed,
 		"unroutable":  &counters.Unroutable,
 	} {
-		n.telemetry.Registry().MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		n.Registry().MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: metricsPrefix + "tunnel_datagrams_total", Help: "Datagrams at the tunnel by outcome.",
 			ConstLabels: prometheus.Labels{"outcome": outcome},
 		}, func() float64 { return float64(value.Load()) }))
 	}
-	n.telemetry.Registry().MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+	n.Registry().MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: metricsPrefix + "flows", Help: "Open flows.",
 	}, func() float64 { return float64(n.flows()) }))
 }
--- a/internal/sidecar/node/node.go
+++ b/internal/sidecar/node/node.go
@@ -8,16 +8,13 @@
 	"net/http"
 	"net/netip"
 	"net/url"
-	"os"
 	"sync/atomic"
-	"time"
 
 	"github.com/orioledyke/orioledyke/internal/common/certificate"
 	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/internal/common/identity"
-	"github.com/orioledyke/orioledyke/internal/common/keyring"
+	"github.com/orioledyke/orioledyke/internal/common/process"
 	"github.com/orioledyke/orioledyke/internal/common/settings"
-	"github.com/orioledyke/orioledyke/internal/common/supervisor"
 	"github.com/orioledyke/orioledyke/internal/common/telemetry"
 	"github.com/orioledyke/orioledyke/internal/control/membership"
 	"github.com/orioledyke/orioledyke/internal/control/peer"
@@ -34,28 +31,17 @@
 
 const (
 	// weightTick is the time between two looks at the weight.
-	weightTick      = 100 * clock.Millis(1)
-	shutdownTimeout = 2 * time.Second
-	tracerName      = "github.com/orioledyke/orioledyke/internal/sidecar/node"
-	// goAwayTime lets clients learn that the sidecar leaves, and siblings take
-	// over new flows, before idle flows are closed.
-	goAwayTime = 4 * time.Second
-	// lingerPolls times lingerPoll is how long the last responses may take to be
-	// acknowledged and repeated. Closing a flow discards what is not acknowledged.
-	lingerPoll  = 100 * clock.Millis(1)
-	lingerPolls = 30
+	weightTick = 100 * clock.Millis(1)
+	tracerName = "github.com/orioledyke/orioledyke/internal/sidecar/node"
 )
 
 // node holds the parts of a running sidecar.
 type node struct {
+	*process.Process
+
 	settings    settings.Sidecar
-	self        identity.OwnerID
 	service     identity.ServiceID
-	logger      *zap.Logger
-	telemetry   *telemetry.Telemetry
-	keys        *keyring.Store
 	certificate *certificate.Certificate
-	clock       clock.Clock
 	platform    *platform.Client
 	conn        *client.Conn
 	// server is nil until the handler, which asks for the number of flows from
@@ -67,7 +53,6 @@
 	handler  *request.Handler
 	contract *serviceContract
 	peer     *peer.Sidecar
-	tree     *supervisor.Tree
 }
 
 // Run runs a sidecar until stop ends, and then lets its requests and streams
@@ -77,43 +62,32 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	n := &node{
-		settings: s, self: identity.NewOwnerID(), service: identity.NewServiceID(s.Customer, s.Service),
-		clock: clock.System(), contract: newServiceContract(s.Customer, s.Service),
+		settings: s, service: identity.NewServiceID(s.Customer, s.Service),
+		contract: newServiceContract(s.Customer, s.Service),
+	}
+	var err error
+	if n.Process, err = process.New(process.Config{Settings: s.Process, Ready: n.notReady}); err != nil {
+		return err
 	}
+	defer n.Close()
 	if err := n.start(ctx); err != nil {
-		cancel()
-		n.close()
 		return err
 	}
-	n.logger.Info("started", zap.Stringer("id", n.self), zap.String("service", s.Customer+"/"+s.Service))
-	served := make(chan error, 1)
-	go func() { served <- n.tree.Serve(ctx) }()
-	n.drainAfter(ctx, stop)
-	cancel()
-	err := <-served
-	n.peer.Wait()
-	n.logger.Info("stopped")
-	n.close()
-	return err
+	return n.Run(ctx, cancel, func() { n.drainAfter(ctx, stop) }, func() { n.peer.Wait() })
 }
 
 func (n *node) start(ctx context.Context) error {
 	var err error
-	if n.telemetry, err = telemetry.New(telemetry.Config{
-		Role: settings.RoleSidecar, Host: n.settings.Host, DataCentre: n.settings.DataCentre, Output: os.Stderr,
-		ObserveAddress: n.settings.ObserveAddress, Traces: n.settings.Traces, Ready: n.notReady,
-	}); err != nil {
+	if n.platform, err = platform.FromSettings(n.settings.Platform, n.Logger()); err != nil {
 		return err
 	}
-	n.logger = n.telemetry.Logger()
-	n.tree = supervisor.New("sidecar", n.logger)
-	n.tree.Add("observe", n.telemetry.Serve)
-	if err := n.loadSecrets(); err != nil {
-		return err
-	}
-	if n.platform, err = platform.FromSettings(n.settings.Platform, n.logger); err != nil {
+	if n.certificate, err = certificate.New(certificate.Config{
+		CertificateFile: n.settings.CertificateFile, PrivateKeyFile: n.settings.PrivateKeyFile,
+		Interval: n.settings.ReloadInterval, Logged: n.Logged,
+	}); err != nil {
 		return err
 	}
+	n.Tree().Add("certificate", n.certificate.Watcher().Serve)
 	if err := n.startConn(ctx); err != nil {
 		return err
 	}
@@ -127,25 +101,6 @@
 	return n.startPeer(ctx)
 }
 
-func (n *node) loadSecrets() error {
-	keys, watcher, err := keyring.NewReloader(keyring.ReloaderConfig{
-		Path: n.settings.KeyRingFile, Interval: n.settings.ReloadInterval, Logged: n.telemetry.Logged,
-	})
-	if err != nil {
-		return err
-	}
-	n.keys = keys
-	n.tree.Add("key-ring", watcher.Serve)
-	if n.certificate, err = certificate.New(certificate.Config{
-		CertificateFile: n.settings.CertificateFile, PrivateKeyFile: n.settings.PrivateKeyFile,
-		Interval: n.settings.ReloadInterval, Logged: n.telemetry.Logged,
-	}); err != nil {
-		return err
-	}
-	n.tree.Add("certificate", n.certificate.Watcher().Serve)
-	return nil
-}
-
 // startConn opens the tunnel. Load messages go out over it, so the exchange of
 // loads is made here.
 func (n *node) startConn(ctx context.Context) error {
@@ -153,12 +108,12 @@
 	if err != nil {
 		return oops.Code("tunnel-address-unavailable").Wrapf(err, "open tunnel-address %s", n.settings.TunnelAddress)
 	}
-	n.exchange = sibling.NewExchange(sibling.ExchangeConfig{Self: n.self, Send: n.sendLoad})
+	n.exchange = sibling.NewExchange(sibling.ExchangeConfig{Self: n.Self(), Send: n.sendLoad})
 	n.conn = client.NewConn(ctx, client.ConnConfig{
-		Tunnel: socket, Self: n.self, Service: n.service, Keys: n.keys, Clock: n.clock,
+		Tunnel: socket, Self: n.Self(), Service: n.service, Keys: n.Keys(), Clock: n.Clock(),
 		Load: n.load, Siblings: n.siblingLoads, Address: n.siblingAddress,
 		Received: func(sender identity.OwnerID, payload []byte) {
-			n.exchange.Receive(sender, payload, n.clock.Now())
+			n.exchange.Receive(sender, payload, n.Clock().Now())
 		},
 	})
 	return nil
@@ -183,7 +138,7 @@
 
 func (n *node) siblingLoads() map[identity.OwnerID]client.Load {
 	loads := map[identity.OwnerID]client.Load{}
-	now := n.clock.Now()
+	now := n.Clock().Now()
 	for owner, load := range n.exchange.Loads(now) {
 		loads[owner] = client.Load{Leaving: load.Leaving, Full: n.full(load.Flows), Flows: load.Flows}
 	}
@@ -203,24 +158,24 @@
 	if err != nil {
 		return oops.Code("settings-invalid").Wrapf(err, "upstream-url")
 	}
-	n.upstream = upstream.NewClient(ctx, upstream.Config{Address: address.Host, Clock: n.clock})
+	n.upstream = upstream.NewClient(ctx, upstream.Config{Address: address.Host, Clock: n.Clock()})
 	n.handler = request.NewHandler(ctx, request.Config{
-		Self: n.self, Service: n.contract.service(), Keys: n.keys, Clock: n.clock, Random: rand.Float64,
-		Upstream: n.upstream, Siblings: n.exchange, Links: sibling.NewClient(ctx, n.keys),
-		Flows: n.flows, Logger: n.logger, Metrics: n.telemetry.Registry(),
+		Self: n.Self(), Service: n.contract.service(), Keys: n.Keys(), Clock: n.Clock(), Random: rand.Float64,
+		Upstream: n.upstream, Siblings: n.exchange, Links: sibling.NewClient(ctx, n.Keys()),
+		Flows: n.flows, Logger: n.Logger(), Metrics: n.Registry(),
 	})
 	listener, err := net.Listen("tcp", n.settings.ControlAddress.String())
 	if err != nil {
 		return oops.Code("control-address-unavailable").Wrapf(err, "open control-address %s", n.settings.ControlAddress)
 	}
-	n.handoff = sibling.NewServer(sibling.ServerConfig{Self: n.self, Keys: n.keys, Handler: n.handler})
-	n.tree.Add("siblings", func(ctx context.Context) error { return n.handoff.Serve(ctx, listener) })
+	n.handoff = sibling.NewServer(sibling.ServerConfig{Self: n.Self(), Keys: n.Keys(), Handler: n.handler})
+	n.Tree().Add("siblings", func(ctx context.Context) error { return n.handoff.Serve(ctx, listener) })
 	return nil
 }
 
 func (n *node) startServer() error {
 	server, err := client.NewServer(client.ServerConfig{
-		Conn: n.conn, Self: n.self, Service: n.service, Keys: n.keys,
+		Conn: n.conn, Self: n.Self(), Service: n.service, Keys: n.Keys(),
 		Certificate: n.certificate.GetCertificate, Handler: telemetry.Hop(tracerName, "balancer", n.balancerOf, n.handler),
 		Full: func() bool { return n.full(n.flows()) },
 	})
@@ -228,7 +183,7 @@
 		return err
 	}
 	n.server.Store(server)
-	n.tree.Add("clients", server.Serve)
+	n.Tree().Add("clients", server.Serve)
 	return nil
 }
 
@@ -258,12 +213,12 @@
 	var err error
 	n.peer, err = peer.NewSidecar(ctx, peer.SidecarConfig{
 		Self: membership.RecordConfig{
-			ID: n.self, Role: membership.RoleSidecar, State: membership.StateJoining,
+			ID: n.Self(), Role: membership.RoleSidecar, State: membership.StateJoining,
 			DataCentre: n.settings.DataCentre, Host: n.settings.Host,
 			Tunnel: n.settings.TunnelAddress, Control: n.settings.ControlAddress,
 			Customer: n.settings.Customer, Service: n.settings.Service,
 		},
-		Keys: n.keys, Clock: n.clock, Logger: n.logger,
+		Keys: n.Keys(), Clock: n.Clock(), Logger: n.Logger(),
 		Seeds: func(ctx context.Context) ([]netip.AddrPort, error) {
 			return n.platform.SeedsOr(ctx, n.settings.Seeds)
 		},
@@ -272,7 +227,7 @@
 	if err != nil {
 		return err
 	}
-	n.tree.Add("weight", n.announceWeight)
+	n.Tree().Add("weight", n.announceWeight)
 	return nil
 }
 
@@ -289,12 +244,12 @@
 	if err != nil {
 		// A newer version of the program may write what this one cannot read. The
 		// contract in effect stays.
-		n.logger.Error("contract-unreadable", zap.String("customer", customer), zap.Uint64("revision", revision), zap.Error(err))
+		n.Logger().Error("contract-unreadable", zap.String("customer", customer), zap.Uint64("revision", revision), zap.Error(err))
 		return
 	}
 	if changed {
 		n.handler.SetService(n.contract.service())
-		n.logger.Info("contract-applied", zap.String("customer", customer), zap.Uint64("revision", revision))
+		n.Logger().Info("contract-applied", zap.String("customer", customer), zap.Uint64("revision", revision))
 	}
 }
 
@@ -339,57 +294,3 @@
 		return membership.StateServing, n.handler.Weight()
 	}
 }
-
-// drainAfter waits for stop, turns new flows away and waits until the requests
-// and streams in progress have ended. Then it closes the flows that clients keep
-// open without a request.
-func (n *node) drainAfter(ctx, stop context.Context) {
-	select {
-	case <-ctx.Done():
-		return
-	case <-stop.Done():
-	}
-	n.logger.Info("draining", zap.Int("flows", n.flows()))
-	n.handler.Leave()
-	// The error tells that clients kept flows without a request, which Close ends.
-	go func() { _ = n.server.Load().Shutdown(ctx) }()
-	settled := time.NewTimer(goAwayTime)
-	defer settled.Stop()
-	select {
-	case <-ctx.Done():
-	case <-settled.C:
-	}
-	if err := n.handler.Drain(ctx); err != nil {
-		n.logger.Warn("drain-incomplete", zap.Error(err))
-	}
-	waitForClients(ctx, n.flows, clock.SystemTicker(ctx, lingerPoll))
-	if err := n.server.Load().Close(); err != nil {
-		n.logger.Warn("drain-incomplete", zap.Error(err))
-	}
-}
-
-// waitForClients returns when clients have closed all flows, as they do after
-// GOAWAY and their last response, or after lingerPolls ticks.
-func waitForClients(ctx context.Context, flows func() int, ticks <-chan struct{}) {
-	for range lingerPolls {
-		if flows() == 0 {
-			return
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticks:
-		}
-	}
-}
-
-func (n *node) close() {
-	if n.telemetry == nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancel()
-	if err := n.telemetry.Shutdown(ctx); err != nil {
-		n.logger.Warn("telemetry-shutdown-failed", zap.Error(err))
-	}
-}
--- a/internal/sidecar/node/node_test.go
+++ b/internal/sidecar/node/node_test.go
@@ -2,15 +2,16 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"net/netip"
+	"os"
+	"path/filepath"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
-	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/internal/common/keyring"
+	"github.com/orioledyke/orioledyke/internal/common/process"
 	"github.com/orioledyke/orioledyke/internal/common/settings"
-	"github.com/orioledyke/orioledyke/internal/common/supervisor"
-	"github.com/orioledyke/orioledyke/internal/common/telemetry"
 	"github.com/orioledyke/orioledyke/internal/control/platform"
 	"github.com/orioledyke/orioledyke/internal/sidecar/sibling"
 )
@@ -22,19 +23,22 @@
 	c := qt.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	observed, err := telemetry.New(telemetry.Config{Role: settings.RoleSidecar, Host: "host", DataCentre: "hope"})
-	c.Assert(err, qt.IsNil)
-	ring, err := keyring.New(1, map[keyring.Generation][]byte{1: make([]byte, keyring.SecretSize)})
+	keyRing := filepath.Join(c.TempDir(), "key-ring.yaml")
+	secret := base64.StdEncoding.EncodeToString(make([]byte, keyring.SecretSize))
+	content := "active: 0\ngenerations:\n  - {number: 0, secret: " + secret + "}\n"
+	c.Assert(os.WriteFile(keyRing, []byte(content), 0o600), qt.IsNil)
+	common := settings.Process{
+		Role: settings.RoleSidecar, Host: "host", DataCentre: "hope", KeyRingFile: keyRing,
+		ControlAddress: netip.MustParseAddrPort("127.0.0.1:0"),
+	}
+	p, err := process.New(process.Config{Settings: common})
 	c.Assert(err, qt.IsNil)
+	defer p.Close()
 	n := &node{
-		self: 1, clock: clock.System(), keys: keyring.NewStore(ring), telemetry: observed, logger: observed.Logger(),
-		platform: platform.New(platform.Config{}), tree: supervisor.New("sidecar", observed.Logger()),
+		Process: p, platform: platform.New(platform.Config{}),
 		contract: newServiceContract("ferncliff-willow", "rod-yard"),
-		exchange: sibling.NewExchange(sibling.ExchangeConfig{Self: 1}),
-		settings: settings.Sidecar{
-			Process:     settings.Process{ControlAddress: netip.MustParseAddrPort("127.0.0.1:0")},
-			UpstreamURL: "http://127.0.0.1:1",
-		},
+		exchange: sibling.NewExchange(sibling.ExchangeConfig{Self: p.Self()}),
+		settings: settings.Sidecar{Process: common, UpstreamURL: "http://127.0.0.1:1"},
 	}
 	c.Assert(n.startRequests(ctx), qt.IsNil)
 	c.Check(n.load().Flows, qt.Equals, 0)
