sibling: Exchange load with up to 6 siblings

Cause: with 4 partners a sidecar of a service of 7 knew 4 of its 6 siblings, and requests were refused although others had free slots and unused shares. Change: 6 partners; at most 6.6 KB/s of load messages while the load changes all the time, 8 KB/s are allowed. Ruled out: raising the size of TestOverloadKeepsOtherWork, which hides the fault.

--- a/internal/sidecar/sibling/exchange.go
+++ b/internal/sidecar/sibling/exchange.go
@@ -12,10 +12,10 @@
 const (
 	// maxPartners limits the siblings that exchange load with this sidecar, and
 	// with it the control traffic.
-	maxPartners = 4
+	maxPartners = 6
 	// minInterval is short because a slot is in use for about 100 ms: with 200 ms
-	// half of the hand-offs found the slot taken. 4 partners then cost at most
-	// 4.4 KB/s.
+	// half of the hand-offs found the slot taken. 6 partners then cost at most
+	// 6.6 KB/s of the 8 KB/s that control may take.
 	minInterval = clock.Millis(100)
 	maxInterval = clock.Second
 	// loadRetention is how long a load message is used. Three lost messages in a
