request: Offer the slots of a cold upstream earlier

Cause: slots times weight was rounded down, so a cold upstream with 3 slots offered none to siblings for the first 10 s, and they queued during a rolling replacement. Change: rounded to the nearest number. Ruled out: rounding up, which would offer a slot of an upstream that sheds load.

--- a/internal/sidecar/request/handler.go
+++ b/internal/sidecar/request/handler.go
@@ -186,11 +186,12 @@
 }
 
 // Load returns what siblings are told about this sidecar. The slots are those
-// that the weight of the upstream leaves, so that an upstream that is cold or
-// sheds load gets no work from siblings.
+// that the weight of the upstream leaves, rounded to the nearest number: an
+// upstream that sheds load (weight 1) gets no work from siblings, and a cold one
+// gets its first slot filled from weight 3.
 func (h *Handler) Load() sibling.Load {
 	load := h.gate.load()
-	load.Slots = load.Slots * h.Weight() / upstream.MaxWeight
+	load.Slots = (load.Slots*h.Weight() + upstream.MaxWeight/2) / upstream.MaxWeight
 	load.Leaving = h.isLeaving()
 	if h.config.Flows != nil {
 		load.Flows = h.config.Flows()
--- a/internal/standin/measure/sidecar_test.go
+++ b/internal/standin/measure/sidecar_test.go
@@ -127,7 +127,7 @@
 func (s *sidecar) load() sibling.Load {
 	return sibling.Load{
 		Leaving: s.leaving, Flows: len(s.conns), InUse: s.gate.inUse(), Queued: s.gate.queued(),
-		Slots: slotsPerUpstream * s.health.Weight(s.world.now()) / upstream.MaxWeight,
+		Slots: (slotsPerUpstream*s.health.Weight(s.world.now()) + upstream.MaxWeight/2) / upstream.MaxWeight,
 	}
 }
 
