--- a/internal/control/membership/balancer.go
+++ b/internal/control/membership/balancer.go
@@ -262,14 +262,14 @@
 		return
 	}
 	if r.ID() == b.self.ID() {
-		if r.Beats(b.self) {
+		if r.Supersedes(b.self) {
 			// Someone declared this process dead.
 			b.changeSelf(now, b.self.withVersion(r.Version()+1))
 		}
 		return
 	}
 	old, known := b.table.Get(r.ID())
-	if known && !r.Beats(old) {
+	if known && !r.Supersedes(old) {
 		b.acceptKnown(r, old, from)
 		return
 	}
@@ -289,7 +289,7 @@
 	if from == nil {
 		return
 	}
-	if held.Beats(r) {
+	if held.Supersedes(r) {
 		from.members.add(r.ID())
 	} else {
 		from.members.drop(r.ID())
--- a/internal/control/membership/record.go
+++ b/internal/control/membership/record.go
@@ -134,9 +134,9 @@
 	return r
 }
 
-// Beats reports whether r replaces old: the higher version wins, and at the
+// Supersedes reports whether r replaces old: the higher version wins, and at the
 // same version the higher state.
-func (r Record) Beats(old Record) bool {
+func (r Record) Supersedes(old Record) bool {
 	if r.config.Version != old.config.Version {
 		return r.config.Version > old.config.Version
 	}
--- a/internal/control/membership/siblings.go
+++ b/internal/control/membership/siblings.go
@@ -56,7 +56,7 @@
 // put takes a record from a watcher and reports whether the result changed.
 func (s *siblings) put(now clock.Millis, stream StreamID, r Record) bool {
 	v := s.view(stream)
-	if old, ok := v.members[r.ID()]; ok && !r.Beats(old.record) {
+	if old, ok := v.members[r.ID()]; ok && !r.Supersedes(old.record) {
 		return false
 	}
 	v.members[r.ID()] = sighting{record: r, at: now}
@@ -73,7 +73,7 @@
 func (s *siblings) resolve(id identity.OwnerID) bool {
 	best, known := Record{}, false
 	for _, v := range s.views {
-		if seen, ok := v.members[id]; ok && (!known || seen.record.Beats(best)) {
+		if seen, ok := v.members[id]; ok && (!known || seen.record.Supersedes(best)) {
 			best, known = seen.record, true
 		}
 	}
--- a/internal/control/membership/sidecar.go
+++ b/internal/control/membership/sidecar.go
@@ -138,7 +138,7 @@
 
 func (s *Sidecar) receiveMember(now clock.Millis, stream StreamID, r Record, out *Actions) {
 	if r.ID() == s.self.ID() {
-		if r.Beats(s.self) {
+		if r.Supersedes(s.self) {
 			s.self = s.self.withVersion(r.Version() + 1)
 			s.announcer.hurry(now)
 		}
