request: Give a draining upstream no new work

Change: once the health endpoint reports a drain and the upstream has refused work since, requests go to siblings or are refused, until the report ends. Ruled out: trusting the endpoint alone, which can be wrong and would close a service; trusting refusals alone, which overload causes too. Red: TestDrainingUpstream, a request after the refusal reached the upstream; green with the change.

--- a/internal/sidecar/request/handler.go
+++ b/internal/sidecar/request/handler.go
@@ -208,8 +208,12 @@
 	return h.leaving
 }
 
-// closed reports whether the sidecar takes no new work.
+// closed reports whether no new work starts here, because the sidecar leaves or
+// its upstream drains. Siblings get what they can take.
 func (h *Handler) closed(now clock.Millis) bool {
+	if h.config.Upstream.Closed() {
+		return true
+	}
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	return h.leaving && now-h.left >= leavingGrace
--- a/internal/sidecar/request/handler_test.go
+++ b/internal/sidecar/request/handler_test.go
@@ -12,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/internal/sidecar/sibling"
+	"github.com/orioledyke/orioledyke/internal/sidecar/upstream"
 )
 
 // TestLateAnswers guards against giving a client the answer to another client's
@@ -220,3 +221,45 @@
 	c.Assert(got.header.Get("Keep-Alive"), qt.Equals, "")
 	c.Assert(got.header.Get("Etag"), qt.Equals, "e")
 }
+
+// TestDrainingUpstream guards against new work at an upstream that drains while
+// its sidecar stays, and against an upstream that gets no work because only its
+// health endpoint, which can be wrong, reports a drain.
+func TestDrainingUpstream(t *testing.T) {
+	c := qt.New(t)
+	n := newNode(c, 1, testKeys(c))
+	n.advance(30 * clock.Second)
+	probe := func(answer string, applied func(weight int) bool) {
+		n.probes <- struct{}{}
+		(<-n.upstream.arrived).reply(answer)
+		for !applied(n.handler.Weight()) {
+			n.ticks <- struct{}{}
+		}
+	}
+	probe("draining", func(weight int) bool { return weight == upstream.MinWeight })
+	served := async(func() reply { return n.get("/lists/1") })
+	(<-n.upstream.arrived).reply("1")
+	c.Assert((<-served).body, qt.Equals, "1")
+
+	refused := async(func() reply { return n.get("/lists/2") })
+	(<-n.upstream.arrived).answer <- func(w http.ResponseWriter) {
+		w.Header().Set("Outcome", "not-run")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	c.Assert((<-refused).header.Get("Outcome"), qt.Equals, "not-run")
+	runs := n.upstream.runs.Load()
+	closed := async(func() reply { return n.get("/lists/3") })
+	select {
+	case job := <-n.upstream.arrived:
+		job.reply("3")
+		c.Fatal("a draining upstream got new work after it had refused some")
+	case got := <-closed:
+		c.Assert(got.header.Get("Outcome"), qt.Equals, "not-run")
+	}
+	c.Assert(n.upstream.runs.Load(), qt.Equals, runs)
+
+	probe("ok", func(weight int) bool { return weight > upstream.MinWeight })
+	open := async(func() reply { return n.get("/lists/4") })
+	(<-n.upstream.arrived).reply("4")
+	c.Assert((<-open).body, qt.Equals, "4")
+}
--- a/internal/sidecar/request/harness_test.go
+++ b/internal/sidecar/request/harness_test.go
@@ -88,6 +88,8 @@
 	control  netip.AddrPort
 	now      *atomic.Int64
 	ticks    chan struct{}
+	// probes makes the upstream's client ask for its health.
+	probes chan struct{}
 }
 
 func testKeys(c *qt.C) *keyring.Store {
@@ -105,17 +107,17 @@
 func newNode(c *qt.C, owner identity.OwnerID, keys *keyring.Store) *node {
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &node{
-		c: c, owner: owner, upstream: newFakeUpstream(c), now: new(atomic.Int64), ticks: make(chan struct{}),
+		c: c, owner: owner, upstream: newFakeUpstream(c), now: new(atomic.Int64), ticks: make(chan struct{}), probes: make(chan struct{}),
 	}
 	c.Cleanup(cancel)
 	now := clock.New(func() clock.Millis { return clock.Millis(n.now.Load()) })
-	never := func(context.Context, clock.Millis) <-chan struct{} { return nil }
+	probes := func(context.Context, clock.Millis) <-chan struct{} { return n.probes }
 	n.exchange = sibling.NewExchange(sibling.ExchangeConfig{Self: owner, Send: func(sibling.Sibling, []byte) {}})
 	n.handler = request.NewHandler(ctx, request.Config{
 		Self: owner, Service: testService(c, testContract), Keys: keys, Clock: now,
 		Ticker:   func(context.Context, clock.Millis) <-chan struct{} { return n.ticks },
 		Random:   func() float64 { return 0.5 },
-		Upstream: upstream.NewClient(ctx, upstream.Config{Address: n.upstream.server.Listener.Addr().String(), Clock: now, Ticker: never}),
+		Upstream: upstream.NewClient(ctx, upstream.Config{Address: n.upstream.server.Listener.Addr().String(), Clock: now, Ticker: probes}),
 		Siblings: n.exchange,
 		Links:    sibling.NewClient(ctx, keys),
 		Metrics:  prometheus.NewRegistry(),
--- a/internal/sidecar/upstream/client.go
+++ b/internal/sidecar/upstream/client.go
@@ -160,6 +160,13 @@
 	return c.health.Weight(c.config.Clock.Now())
 }
 
+// Closed reports whether the upstream drains and has refused work since.
+func (c *Client) Closed() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.health.Closed()
+}
+
 // Do calls the upstream. The error is an *Error. The context ends the call, also
 // while the response body is read; its cause is kept.
 func (c *Client) Do(ctx context.Context, request Call) (*http.Response, error) {
--- a/internal/sidecar/upstream/health.go
+++ b/internal/sidecar/upstream/health.go
@@ -64,6 +64,8 @@
 	baselines map[string]*baseline
 	failing   bool
 	draining  bool
+	// refused tells that the upstream shed work since it reports a drain.
+	refused bool
 }
 
 // baseline is the usual response time of a kind in milliseconds.
@@ -87,6 +89,7 @@
 		h.recordTime(kind, float64(max(elapsed, 1)), now)
 		h.failures -= h.failures * failureWeight
 	case Shed, Failed:
+		h.refused = h.refused || h.draining && result == Shed
 		h.failures += (1 - h.failures) * failureWeight
 	case Unreachable:
 		h.down = true
@@ -126,8 +129,14 @@
 	h.reached(now)
 	h.failing = failing
 	h.draining = draining
+	h.refused = h.refused && draining
 }
 
+// Closed reports whether the upstream takes no work until its health endpoint no
+// longer reports a drain. The endpoint alone may be wrong, and one refusal may be
+// a moment of load, so both must say so.
+func (h *Health) Closed() bool { return h.draining && h.refused }
+
 // Usual returns the usual response time of a kind, or zero if it is not known.
 func (h *Health) Usual(kind string) clock.Millis {
 	if b := h.baselines[kind]; b != nil {
