upstream: Count refusals shortly before the report of a drain

Cause: the health endpoint lags, so a draining upstream had refused work already when the drain was reported, and got work until it refused once more. Change: a refusal within 5 s before the report counts as its effect. Red: TestClosed without the change; green with it.

--- a/internal/sidecar/upstream/health.go
+++ b/internal/sidecar/upstream/health.go
@@ -37,6 +37,9 @@
 	// failingWeight is the limit while the health endpoint reports a failure. It
 	// may lag or be wrong, so it does not exclude the upstream.
 	failingWeight = 4
+	// refusalMemory is how long before the report of a drain a refusal counts as
+	// its effect, because the health endpoint lags behind the upstream.
+	refusalMemory = 5 * clock.Second
 )
 
 // Result tells how a request to the upstream ended.
@@ -64,8 +67,11 @@
 	baselines map[string]*baseline
 	failing   bool
 	draining  bool
-	// refused tells that the upstream shed work since it reports a drain.
+	// refused tells that the upstream shed work around or during a drain.
 	refused bool
+	// shed is set once the upstream shed work, and shedAt is when it last did.
+	shed   bool
+	shedAt clock.Millis
 }
 
 // baseline is the usual response time of a kind in milliseconds.
@@ -89,7 +95,10 @@
 		h.recordTime(kind, float64(max(elapsed, 1)), now)
 		h.failures -= h.failures * failureWeight
 	case Shed, Failed:
-		h.refused = h.refused || h.draining && result == Shed
+		if result == Shed {
+			h.shed, h.shedAt = true, now
+			h.refused = h.refused || h.draining
+		}
 		h.failures += (1 - h.failures) * failureWeight
 	case Unreachable:
 		h.down = true
@@ -128,8 +137,9 @@
 func (h *Health) Report(failing, draining bool, now clock.Millis) {
 	h.reached(now)
 	h.failing = failing
+	recent := h.shed && now-h.shedAt <= refusalMemory
+	h.refused = draining && (h.refused || !h.draining && recent)
 	h.draining = draining
-	h.refused = h.refused && draining
 }
 
 // Closed reports whether the upstream takes no work until its health endpoint no
--- a/internal/sidecar/upstream/upstream_test.go
+++ b/internal/sidecar/upstream/upstream_test.go
@@ -187,3 +187,25 @@
 	weights(1, 110_000)
 	weights(16, 140_000)
 }
+
+// TestClosed guards against an upstream that drains and still gets work because
+// its health endpoint reported the drain after the refusals, and against one that
+// gets none because of an old refusal or a report alone.
+func TestClosed(t *testing.T) {
+	c := qt.New(t)
+	h := upstream.NewHealth(0)
+	h.Record("work", upstream.Shed, 0, 1000)
+	c.Assert(h.Closed(), qt.IsFalse)
+	h.Report(false, true, 6000)
+	c.Assert(h.Closed(), qt.IsTrue)
+	h.Report(false, true, 60_000)
+	c.Assert(h.Closed(), qt.IsTrue)
+	h.Report(false, false, 61_000)
+	c.Assert(h.Closed(), qt.IsFalse)
+	h.Report(false, true, 62_000)
+	c.Assert(h.Closed(), qt.IsFalse)
+	h.Record("work", upstream.Answered, 10, 62_000)
+	c.Assert(h.Closed(), qt.IsFalse)
+	h.Record("work", upstream.Shed, 0, 62_000)
+	c.Assert(h.Closed(), qt.IsTrue)
+}
