request: Share the set-up of tests about a queue that is left

Cause: two tests built the same queue line by line, and a newcomer would take rapid's Skip, which draws another step, for a skipped test.

--- a/internal/control/platform/race_test.go
+++ b/internal/control/platform/race_test.go
@@ -118,6 +118,7 @@
 func (f *fleet) start(t *rapid.T) {
 	idle := f.idle()
 	if len(idle) == 0 {
+		// Here and below, Skip makes rapid draw another step; the test goes on.
 		t.Skip("all writers are busy")
 	}
 	w := rapid.SampledFrom(idle).Draw(t, "writer")
--- a/internal/sidecar/request/ticket_test.go
+++ b/internal/sidecar/request/ticket_test.go
@@ -157,11 +157,7 @@
 	a, b := pair(c)
 	b.handler.SetSiblings(nil)
 	a.exchange.Receive(b.owner, sibling.Load{Leaving: true}.Encode(), 0)
-	first := async(func() reply { return a.get("/lists/1") })
-	busy := <-a.upstream.arrived
-	second := async(func() reply { return a.get("/lists/2") })
-	a.until(func(l sibling.Load) bool { return l.Queued == 1 })
-	a.handler.Leave()
+	busy, first, second := a.leaveWithQueue()
 	a.advance(2 * clock.Second)
 	c.Assert((<-second).header.Get("Outcome"), qt.Equals, "not-run")
 	busy.reply("1")
@@ -169,17 +165,24 @@
 	c.Assert(a.upstream.runs.Load(), qt.Equals, int64(1))
 }
 
+// leaveWithQueue lets one request reach the upstream and another one queue, and
+// makes the sidecar leave.
+func (n *node) leaveWithQueue() (busy *work, first, second <-chan reply) {
+	first = async(func() reply { return n.get("/lists/1") })
+	busy = <-n.upstream.arrived
+	second = async(func() reply { return n.get("/lists/2") })
+	n.until(func(l sibling.Load) bool { return l.Queued == 1 })
+	n.handler.Leave()
+	return busy, first, second
+}
+
 // TestLeavingQueueMoves guards against a refusal of queued work when a sibling of a
 // leaving sidecar has a free slot.
 func TestLeavingQueueMoves(t *testing.T) {
 	c := qt.New(t)
 	a, b := pair(c)
 	a.exchange.Receive(b.owner, sibling.Load{}.Encode(), 0)
-	first := async(func() reply { return a.get("/lists/1") })
-	busy := <-a.upstream.arrived
-	second := async(func() reply { return a.get("/lists/2") })
-	a.until(func(l sibling.Load) bool { return l.Queued == 1 })
-	a.handler.Leave()
+	busy, first, second := a.leaveWithQueue()
 	a.exchange.Receive(b.owner, sibling.Load{Slots: 1}.Encode(), 0)
 	a.advance(2 * clock.Second)
 	(<-b.upstream.arrived).reply("2")
