--- a/Makefile
+++ b/Makefile
@@ -15,12 +15,12 @@
 	cd tools && $(GO) build -o $(TOOLS)/ tool
 
 lint: tools
-	@files=$$($(TOOLS)/gofumpt -l cmd internal); if [ -n "$$files" ]; then echo "not formatted: $$files"; exit 1; fi
+	@files=$$($(TOOLS)/gofumpt -l cmd internal platform); if [ -n "$$files" ]; then echo "not formatted: $$files"; exit 1; fi
 	$(TOOLS)/revive -config tools/revive.toml ./...
 	$(GO) vet ./...
 
 format: tools
-	$(TOOLS)/gofumpt -w cmd internal
+	$(TOOLS)/gofumpt -w cmd internal platform
 
 generate: tools
 	PATH="$(TOOLS):$$PATH" protoc -I internal/wire/controlpb --go_out=internal/wire/controlpb --go_opt=paths=source_relative \
--- a/internal/cli/commands/balancer.go
+++ b/internal/cli/commands/balancer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 
 	"github.com/orioledyke/orioledyke/internal/balancer/node"
 	"github.com/orioledyke/orioledyke/internal/common/settings"
@@ -9,7 +10,7 @@
 )
 
 func newBalancerCommand() *cli.Command {
-	return newServeCommand("balancer", "run a balancer on an entry host", func(ctx, stop context.Context, path string) error {
+	return newServeCommand("balancer", "run a balancer on an entry host", func(ctx, stop context.Context, path string, _ <-chan os.Signal) error {
 		s, err := settings.Load[settings.Balancer](path)
 		if err != nil {
 			return err
--- /dev/null
+++ b/internal/cli/commands/flow.go
@@ -0,0 +1,30 @@
+package commands
+
+import (
+	"context"
+	"os"
+
+	"github.com/orioledyke/orioledyke/internal/common/settings"
+	"github.com/orioledyke/orioledyke/internal/flow/node"
+	"github.com/urfave/cli/v3"
+)
+
+func newFlowBalancerCommand() *cli.Command {
+	return newFlowCommand("flow-balancer", "run a balancer for flows without a connection ID", node.RunBalancer)
+}
+
+func newFlowSidecarCommand() *cli.Command {
+	return newFlowCommand("flow-sidecar", "run the process beside an upstream for flows without a connection ID", node.RunSidecar)
+}
+
+// newFlowCommand returns the command of a role that reads its settings again at
+// SIGHUP.
+func newFlowCommand[S any](name, usage string, run func(context.Context, node.Options, S) error) *cli.Command {
+	return newServeCommand(name, usage, func(ctx, stop context.Context, path string, reload <-chan os.Signal) error {
+		s, err := settings.Load[S](path)
+		if err != nil {
+			return err
+		}
+		return run(ctx, node.Options{Path: path, Stop: stop, Reload: reload}, s)
+	})
+}
--- a/internal/cli/commands/root.go
+++ b/internal/cli/commands/root.go
@@ -48,6 +48,8 @@
 		Commands: []*cli.Command{
 			newBalancerCommand(),
 			newSidecarCommand(),
+			newFlowBalancerCommand(),
+			newFlowSidecarCommand(),
 			newKeysCommand(),
 			newSettingsCommand(),
 			newContractCommand(dependencies),
--- a/internal/cli/commands/sidecar.go
+++ b/internal/cli/commands/sidecar.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 
 	"github.com/orioledyke/orioledyke/internal/common/settings"
 	"github.com/orioledyke/orioledyke/internal/sidecar/node"
@@ -9,7 +10,7 @@
 )
 
 func newSidecarCommand() *cli.Command {
-	return newServeCommand("sidecar", "run the process beside an upstream", func(ctx, stop context.Context, path string) error {
+	return newServeCommand("sidecar", "run the process beside an upstream", func(ctx, stop context.Context, path string, _ <-chan os.Signal) error {
 		s, err := settings.Load[settings.Sidecar](path)
 		if err != nil {
 			return err
--- a/internal/common/settings/check.go
+++ b/internal/common/settings/check.go
@@ -48,10 +48,16 @@
 }
 
 func (p *Process) checkRole(want Role) Faults {
-	if p.Role == want || (p.Role != RoleBalancer && p.Role != RoleSidecar) {
+	return checkRole(p.source, p.Role, want)
+}
+
+// checkRole reports a role of another command. One that no command has is reported
+// by its rule.
+func checkRole(source source, role, want Role) Faults {
+	if role == want || (rule{kind: "role"}).check(role) != "" {
 		return nil
 	}
-	return Faults{p.source.fault("role", fmt.Sprintf("%q is not allowed; want %s for this command", p.Role, want))}
+	return Faults{source.fault("role", fmt.Sprintf("%q is not allowed; want %s for this command", role, want))}
 }
 
 func (b *Balancer) check() Faults {
--- a/internal/common/settings/rule.go
+++ b/internal/common/settings/rule.go
@@ -27,12 +27,13 @@
 	return rule{kind: kind, required: option == "required"}
 }
 
-// wants tells what each kind of value allows. The kinds are: role, name,
+// wants tells what each kind of value allows. The kinds are: role, label, name,
 // address (IP:port to listen on), reachable (IP:port that peers are told), ip,
 // url, host-port, file (must be readable), key-ring (must be a valid key ring),
 // output (must be in an existing directory), positive (duration), ratio.
 var wants = map[string]string{
-	"role":      "balancer or sidecar",
+	"role":      "balancer, sidecar, flow-balancer or flow-sidecar",
+	"label":     "1 to 200 printable characters",
 	"name":      "1 to 63 lower-case letters, digits and hyphens that begin with a letter",
 	"address":   "IP:port, such as 10.0.0.1:7002",
 	"reachable": "IP:port that peers can reach, such as 10.0.0.1:7000",
@@ -46,6 +47,9 @@
 	"ratio":     "a number from 0 to 1",
 }
 
+// labelPattern allows the names that others give to hosts and services.
+var labelPattern = regexp.MustCompile(`^[!-~]{1,200}$`)
+
 var namePattern = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
 
 func (r rule) want() string { return wants[r.kind] }
@@ -55,7 +59,7 @@
 	allowed, reason := true, ""
 	switch v := value.(type) {
 	case Role:
-		allowed = v == RoleBalancer || v == RoleSidecar
+		allowed = v == RoleBalancer || v == RoleSidecar || v == RoleFlowBalancer || v == RoleFlowSidecar
 	case netip.AddrPort:
 		allowed = v.Port() != 0 && v.Addr().Zone() == "" && !v.Addr().IsMulticast() &&
 			(r.kind != "reachable" || !v.Addr().IsUnspecified())
@@ -79,6 +83,8 @@
 
 func (r rule) checkText(text string) (allowed bool, reason string) {
 	switch r.kind {
+	case "label":
+		return labelPattern.MatchString(text), ""
 	case "name":
 		return namePattern.MatchString(text), ""
 	case "url":
--- a/internal/common/settings/settings.go
+++ b/internal/common/settings/settings.go
@@ -13,6 +13,9 @@
 const (
 	RoleBalancer Role = "balancer"
 	RoleSidecar  Role = "sidecar"
+	// RoleFlowBalancer and RoleFlowSidecar carry flows without a connection ID.
+	RoleFlowBalancer Role = "flow-balancer"
+	RoleFlowSidecar  Role = "flow-sidecar"
 )
 
 // Process holds the settings that every role has. The rule tags are described
@@ -93,16 +96,23 @@
 	return Fault{File: s.file, Line: s.lines[key], Key: key, Problem: problem}
 }
 
-// Load reads settings of type T, which is Balancer or Sidecar, from a file and
-// checks them as a whole. The error is of type Faults and holds every fault.
+// Load reads settings of type T, one of the four roles, from a file and checks them
+// as a whole. The error is of type Faults and holds every fault.
 func Load[T any](path string) (T, error) {
 	var zero T
 	data, faults := read(path)
 	if len(faults) > 0 {
 		return zero, faults
 	}
+	return ParseAs[T](path, data)
+}
+
+// ParseAs checks the content of a settings file of type T; path only names it in
+// faults. The error is of type Faults.
+func ParseAs[T any](path string, data []byte) (T, error) {
 	settings, faults := parse[T](path, data)
 	if len(faults) > 0 {
+		var zero T
 		return zero, faults
 	}
 	return settings, nil
@@ -123,6 +133,12 @@
 	case *Sidecar:
 		s.source = d.source
 		d.faults = append(d.faults, s.check()...)
+	case *FlowBalancer:
+		s.source = d.source
+		d.faults = append(d.faults, s.check()...)
+	case *FlowSidecar:
+		s.source = d.source
+		d.faults = append(d.faults, s.check()...)
 	}
 	d.faults.sort()
 	return settings, d.faults
--- a/internal/common/telemetry/log.go
+++ b/internal/common/telemetry/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"sync/atomic"
 
 	zaplogfmt "github.com/jsternberg/zap-logfmt"
 	"github.com/samber/oops"
@@ -11,7 +12,9 @@
 
 // newLogger returns a logger that writes logfmt lines, which begin with time,
 // level, event, role and host.
-func newLogger(config Config) *zap.Logger {
+//
+// With a limit of lines, dropped counts those that are not written.
+func newLogger(config Config, dropped *atomic.Uint64) *zap.Logger {
 	encoder := zaplogfmt.NewEncoder(zapcore.EncoderConfig{
 		TimeKey:        "time",
 		LevelKey:       "level",
@@ -25,8 +28,14 @@
 	if output == nil {
 		output = io.Discard
 	}
-	core := zapcore.NewCore(encoder, zapcore.Lock(zapcore.AddSync(output)), zapcore.InfoLevel)
-	return zap.New(plainErrors{core}).With(
+	var core zapcore.Core
+	if config.LineLimit > 0 {
+		core = zapcore.NewCore(encoder, newBoundedWriter(output, dropped), zapcore.InfoLevel)
+		core = limited(plainErrors{core}, config.LineLimit, dropped)
+	} else {
+		core = plainErrors{zapcore.NewCore(encoder, zapcore.Lock(zapcore.AddSync(output)), zapcore.InfoLevel)}
+	}
+	return zap.New(core).With(
 		zap.String("role", string(config.Role)),
 		zap.String("host", config.Host),
 		zap.String("data-centre", config.DataCentre),
--- a/internal/common/telemetry/telemetry.go
+++ b/internal/common/telemetry/telemetry.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"sync/atomic"
 
 	"github.com/orioledyke/orioledyke/internal/common/settings"
 	"github.com/prometheus/client_golang/prometheus"
@@ -23,6 +24,10 @@
 	DataCentre string
 	// Output receives the log, one line for each event.
 	Output io.Writer
+	// LineLimit is how many lines of one event are written in a second; the others
+	// are counted and dropped, and a writer that is slow delays nothing. Zero means
+	// no limit.
+	LineLimit int
 	// ObserveAddress serves /metrics, /ready and /live. The zero value serves
 	// nothing.
 	ObserveAddress netip.AddrPort
@@ -40,17 +45,18 @@
 	registry *prometheus.Registry
 	traces   *traces
 	listener net.Listener
+	dropped  atomic.Uint64
 }
 
 // New opens the observe address and the outputs of spans, and installs the
 // tracer provider and W3C trace context propagation for the whole process. An
 // error leaves nothing open.
 func New(config Config) (*Telemetry, error) {
-	t := &Telemetry{
-		config:   config,
-		logger:   newLogger(config),
-		registry: newRegistry(),
-	}
+	t := &Telemetry{config: config, registry: newRegistry()}
+	t.logger = newLogger(config, &t.dropped)
+	t.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "orioledyke_log_lines_dropped_total", Help: "Log lines over the limit or not read in time.",
+	}, func() float64 { return float64(t.dropped.Load()) }))
 	if config.ObserveAddress.IsValid() {
 		var err error
 		if t.listener, err = net.Listen("tcp", config.ObserveAddress.String()); err != nil {
--- /dev/null
+++ b/internal/flow/balancer/balancer.go
@@ -0,0 +1,316 @@
+// Package balancer decides what a balancer does with the packets of flows that
+// carry no connection ID: which sidecar gets a new flow, and which one holds an
+// open flow. It is pure: packets, messages and time in, datagrams out.
+package balancer
+
+import (
+	"net/netip"
+
+	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/common/identity"
+	"github.com/orioledyke/orioledyke/internal/flow/relay"
+	"github.com/orioledyke/orioledyke/internal/flow/route"
+	"github.com/orioledyke/orioledyke/internal/flow/segment"
+)
+
+const (
+	// answerTimeout is how long a sidecar may take to accept a new flow before
+	// another one is asked: several round trips between data centres, and well
+	// below the first retransmission of clients after 200 ms.
+	answerTimeout clock.Millis = 30
+	// openingLife is how long a flow may take to open. Clients give up after
+	// 1.4 s.
+	openingLife = 2 * clock.Second
+	// maxAttempts limits the sidecars that are asked for one new flow.
+	maxAttempts = 4
+	// defaultIdle is how long an idle flow is remembered when the configuration
+	// has no limit.
+	defaultIdle = 30 * clock.Second
+	// maxFlows bounds the memory: about 200 bytes for each flow.
+	maxFlows = 100_000
+	// broadcastRate is how many packets of unknown flows a balancer may send to
+	// all sidecars in a second, so that a stranger's packets are not multiplied
+	// without limit.
+	broadcastRate = 2000
+)
+
+// Outcome is what became of a packet or flow, for counters and logs.
+type Outcome int
+
+// Outcomes.
+const (
+	OutcomePlaced Outcome = iota
+	OutcomeMovedOn
+	OutcomeTimedOut
+	OutcomeForwarded
+	OutcomeBroadcast
+	OutcomeReset
+	OutcomeNoRoute
+	OutcomeNoSidecar
+	OutcomeInvalid
+	OutcomeLimited
+	OutcomeNotHeld
+	OutcomeClaimed
+	OutcomeAccepted
+	OutcomeCount
+)
+
+var outcomeNames = [OutcomeCount]string{
+	"placed", "moved-on", "timed-out", "forwarded", "broadcast", "reset", "no-route", "no-sidecar",
+	"invalid", "limited", "not-held", "claimed", "accepted",
+}
+
+// String returns the name of the outcome in metrics and logs.
+func (o Outcome) String() string { return outcomeNames[o] }
+
+// Event is a decision about one flow.
+type Event struct {
+	Outcome Outcome
+	Key     segment.Key
+	Sidecar netip.AddrPort
+	// Reason is set if a sidecar refused the flow.
+	Reason relay.Reason
+	// Version is that of the configuration that decided.
+	Version uint64
+	// Age is the time since the last news of the sidecar.
+	Age clock.Millis
+	// Attempt counts the sidecars asked, from 1.
+	Attempt int
+}
+
+// Config configures a Balancer. Every function is called during calls of the
+// Balancer and must not call it back.
+type Config struct {
+	DataCentre string
+	// Decode reads a client's packet.
+	Decode func([]byte) (segment.Segment, error)
+	// Reset returns the packet that refuses a flow.
+	Reset func(key segment.Key, acknowledged uint32) []byte
+	// ToSidecar and ToClient send a datagram, which is valid during the call only.
+	ToSidecar func(to netip.AddrPort, data []byte)
+	ToClient  func(to netip.Addr, data []byte)
+	// Random returns a number from 0 to n-1.
+	Random func(n int) int
+	// Observe receives every decision. Nil means nothing.
+	Observe func(Event)
+}
+
+// Balancer is the state of one balancer. It is not safe for concurrent use.
+type Balancer struct {
+	config   Config
+	table    *route.Table
+	sidecars map[netip.AddrPort]*sidecar
+	services map[identity.ServiceID][]*sidecar
+	flows    map[segment.Key]*flow
+	// openings are the requests that wait for an answer, in order of their deadlines.
+	openings []attempt
+	buffer   []byte
+	swept    clock.Millis
+	// window and broadcasts count the broadcasts of the current second.
+	window     clock.Millis
+	broadcasts int
+	counts     [OutcomeCount]uint64
+}
+
+// flow is what the balancer remembers of a flow.
+type flow struct {
+	// owner is the sidecar that gets the packets. The zero value means unknown.
+	owner    netip.AddrPort
+	seen     clock.Millis
+	accepted bool
+	opening  *opening
+}
+
+// New returns a Balancer without table and sidecars.
+func New(config Config) *Balancer {
+	if config.Observe == nil {
+		config.Observe = func(Event) {}
+	}
+	return &Balancer{
+		config:   config,
+		sidecars: map[netip.AddrPort]*sidecar{},
+		services: map[identity.ServiceID][]*sidecar{},
+		flows:    map[segment.Key]*flow{},
+	}
+}
+
+// SetTable puts a configuration into effect. It reports false for one that is not
+// newer than the current one.
+func (b *Balancer) SetTable(t *route.Table) bool {
+	if b.table != nil && t.Version() <= b.table.Version() {
+		return false
+	}
+	b.table = t
+	return true
+}
+
+// Table returns the configuration in effect, nil if there is none.
+func (b *Balancer) Table() *route.Table { return b.table }
+
+// Flows returns the number of flows remembered.
+func (b *Balancer) Flows() int { return len(b.flows) }
+
+// Count returns how often an outcome occurred.
+func (b *Balancer) Count(o Outcome) uint64 { return b.counts[o] }
+
+// HandleClient handles a packet of a client.
+func (b *Balancer) HandleClient(now clock.Millis, packet []byte) {
+	s, err := b.config.Decode(packet)
+	if err != nil || s.Returned {
+		b.count(Event{Outcome: OutcomeInvalid})
+		return
+	}
+	f := b.flows[s.Key]
+	if s.Requests() {
+		b.handleRequest(now, f, s, packet)
+		return
+	}
+	if f != nil && f.owner.IsValid() {
+		f.seen = now
+		b.forward(f.owner, relay.KindForward, b.serviceOf(s.Key), false, packet)
+		b.counts[OutcomeForwarded]++
+		return
+	}
+	b.search(now, s.Key, netip.AddrPort{}, packet)
+}
+
+// HandleSidecar handles a message of a sidecar.
+func (b *Balancer) HandleSidecar(now clock.Millis, from netip.AddrPort, m relay.Message) {
+	switch m.Kind {
+	case relay.KindReport:
+		b.applyReport(now, from, m.Report)
+	case relay.KindAccepted:
+		b.applyLoad(now, from, m.Load)
+		b.handleAccepted(now, from, m.Key)
+	case relay.KindRefused:
+		b.applyLoad(now, from, m.Load)
+		b.handleRefused(now, from, m)
+	case relay.KindClaimed:
+		b.applyLoad(now, from, m.Load)
+		f := b.remember(now, m.Key)
+		f.owner, f.accepted = from, true
+		b.count(Event{Outcome: OutcomeClaimed, Key: m.Key, Sidecar: from})
+	case relay.KindNotHeld:
+		b.handleNotHeld(now, from, m.Packet)
+	}
+}
+
+// handleNotHeld looks for the owner of a flow that is not where it was.
+func (b *Balancer) handleNotHeld(now clock.Millis, from netip.AddrPort, packet []byte) {
+	s, err := b.config.Decode(packet)
+	if err != nil {
+		b.count(Event{Outcome: OutcomeInvalid})
+		return
+	}
+	b.count(Event{Outcome: OutcomeNotHeld, Key: s.Key, Sidecar: from})
+	if f := b.flows[s.Key]; f != nil {
+		if f.owner.IsValid() && f.owner != from {
+			b.forward(f.owner, relay.KindForward, b.serviceOf(s.Key), false, packet)
+			return
+		}
+		f.owner = netip.AddrPort{}
+	}
+	b.search(now, s.Key, from, packet)
+}
+
+// search sends a packet to every sidecar that may hold its flow, except one. The
+// one that does claims the flow.
+func (b *Balancer) search(now clock.Millis, key segment.Key, except netip.AddrPort, packet []byte) {
+	r, ok := b.table.Lookup(key.Service())
+	if !ok {
+		b.count(Event{Outcome: OutcomeNoRoute, Key: key, Version: b.table.Version()})
+		return
+	}
+	if now-b.window >= clock.Second {
+		b.window, b.broadcasts = now, 0
+	}
+	if b.broadcasts >= broadcastRate {
+		b.count(Event{Outcome: OutcomeLimited, Key: key})
+		return
+	}
+	b.broadcasts++
+	for _, target := range r.Targets {
+		for _, c := range b.services[target.Service] {
+			if c.address != except {
+				b.forward(c.address, relay.KindForward, target.Service, true, packet)
+			}
+		}
+	}
+	b.count(Event{Outcome: OutcomeBroadcast, Key: key, Version: b.table.Version()})
+}
+
+func (b *Balancer) serviceOf(key segment.Key) identity.ServiceID {
+	if r, ok := b.table.Lookup(key.Service()); ok {
+		return r.Service(key)
+	}
+	return 0
+}
+
+// remember returns the entry of a flow, which it makes if there is none.
+func (b *Balancer) remember(now clock.Millis, key segment.Key) *flow {
+	f := b.flows[key]
+	if f == nil {
+		if len(b.flows) >= maxFlows {
+			b.forgetOne()
+		}
+		f = &flow{}
+		b.flows[key] = f
+	}
+	f.seen = now
+	return f
+}
+
+// forgetOne forgets any flow. Its next packet is sent to all sidecars.
+func (b *Balancer) forgetOne() {
+	for key := range b.flows {
+		delete(b.flows, key)
+		return
+	}
+}
+
+func (b *Balancer) forward(to netip.AddrPort, kind relay.Kind, service identity.ServiceID, broadcast bool, packet []byte) {
+	m := relay.Message{Kind: kind, Service: service, Broadcast: broadcast, Packet: packet}
+	data, err := m.Append(b.buffer[:0])
+	if err != nil {
+		b.count(Event{Outcome: OutcomeInvalid})
+		return
+	}
+	b.buffer = data
+	b.config.ToSidecar(to, data)
+}
+
+func (b *Balancer) count(e Event) {
+	b.counts[e.Outcome]++
+	b.config.Observe(e)
+}
+
+// NextDeadline returns the time at which Tick has something to do, or 0 if no
+// answer is awaited.
+func (b *Balancer) NextDeadline() clock.Millis {
+	if len(b.openings) == 0 {
+		return 0
+	}
+	return b.openings[0].deadline
+}
+
+// Tick forgets old state and asks other sidecars where no answer came.
+func (b *Balancer) Tick(now clock.Millis) {
+	b.expireOpenings(now)
+	if now-b.swept >= clock.Second {
+		b.swept = now
+		b.sweep(now)
+	}
+}
+
+func (b *Balancer) sweep(now clock.Millis) {
+	idle := b.table.IdleTimeout()
+	if idle <= 0 {
+		idle = defaultIdle
+	}
+	for key, f := range b.flows {
+		if now-f.seen > idle {
+			delete(b.flows, key)
+		}
+	}
+	b.expireSidecars(now)
+}
--- /dev/null
+++ b/internal/flow/balancer/opening.go
@@ -0,0 +1,156 @@
+package balancer
+
+import (
+	"bytes"
+	"net/netip"
+	"slices"
+
+	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/common/identity"
+	"github.com/orioledyke/orioledyke/internal/flow/relay"
+	"github.com/orioledyke/orioledyke/internal/flow/segment"
+)
+
+// opening is a new flow that no upstream has accepted yet.
+type opening struct {
+	key     segment.Key
+	service identity.ServiceID
+	packet  []byte
+	// copies is the highest copy of the client's request seen; 0 is the first one.
+	copies uint32
+	began  clock.Millis
+	tried  []netip.AddrPort
+	// unanswered counts the sidecars that were asked and have not answered, so that
+	// their upstreams may have accepted the flow.
+	unanswered int
+	// deadline is the time until which the sidecar asked last may answer.
+	deadline clock.Millis
+}
+
+// attempt is a request to one sidecar. It is obsolete when its opening has another
+// deadline.
+type attempt struct {
+	opening  *opening
+	deadline clock.Millis
+}
+
+// handleRequest handles a client's request for a new flow.
+func (b *Balancer) handleRequest(now clock.Millis, f *flow, s segment.Segment, packet []byte) {
+	copies := s.Acknowledged
+	if f != nil && copies > 0 && f.accepted {
+		// The upstream repeats its answer, which was lost.
+		f.seen = now
+		b.forward(f.owner, relay.KindForward, b.serviceOf(s.Key), false, packet)
+		b.counts[OutcomeForwarded]++
+		return
+	}
+	r, ok := b.table.Lookup(s.Key.Service())
+	if !ok {
+		b.refuse(s.Key, copies, Event{Outcome: OutcomeNoRoute, Key: s.Key, Version: b.table.Version()})
+		return
+	}
+	if f == nil || f.opening == nil || copies == 0 {
+		f = b.remember(now, s.Key)
+		f.owner, f.accepted = netip.AddrPort{}, false
+		f.opening = &opening{key: s.Key, service: r.Service(s.Key), packet: bytes.Clone(packet), began: now}
+	}
+	f.opening.copies = max(f.opening.copies, copies)
+	b.ask(now, f, f.opening, 0)
+}
+
+// ask sends the request to the best sidecar that has not been asked. If there is
+// none, the client gets a refusal, unless some upstream may have accepted the flow.
+func (b *Balancer) ask(now clock.Millis, f *flow, o *opening, reason relay.Reason) {
+	if len(o.tried) < maxAttempts {
+		if c := b.pick(now, o); c != nil {
+			outcome := OutcomePlaced
+			if len(o.tried) > 0 {
+				outcome = OutcomeMovedOn
+			}
+			o.tried = append(o.tried, c.address)
+			o.unanswered++
+			o.deadline = now + answerTimeout
+			b.openings = append(b.openings, attempt{opening: o, deadline: o.deadline})
+			c.placed++
+			f.owner = c.address
+			b.forward(c.address, relay.KindForward, o.service, false, o.packet)
+			b.count(Event{
+				Outcome: outcome, Key: o.key, Sidecar: c.address, Reason: reason,
+				Version: b.table.Version(), Age: now - c.heard, Attempt: len(o.tried),
+			})
+			return
+		}
+	}
+	if o.unanswered > 0 {
+		return
+	}
+	delete(b.flows, o.key)
+	b.refuse(o.key, o.copies, Event{
+		Outcome: OutcomeNoSidecar, Key: o.key, Reason: reason, Version: b.table.Version(), Attempt: len(o.tried),
+	})
+}
+
+// refuse answers a request for a flow that was given to no upstream. Only the
+// first copy is refused: a later one may follow a copy that another balancer
+// placed.
+func (b *Balancer) refuse(key segment.Key, copies uint32, e Event) {
+	b.count(e)
+	if copies > 0 || b.table == nil {
+		return
+	}
+	e.Outcome = OutcomeReset
+	b.count(e)
+	b.config.ToClient(key.Client().Addr(), b.config.Reset(key, 0))
+}
+
+func (b *Balancer) handleAccepted(now clock.Millis, from netip.AddrPort, key segment.Key) {
+	f := b.flows[key]
+	if f == nil || f.accepted {
+		return
+	}
+	f.seen = now
+	f.owner, f.accepted = from, true
+	f.opening = nil
+	b.count(Event{Outcome: OutcomeAccepted, Key: key, Sidecar: from})
+}
+
+func (b *Balancer) handleRefused(now clock.Millis, from netip.AddrPort, m relay.Message) {
+	f := b.flows[m.Key]
+	if f == nil || f.opening == nil || f.accepted {
+		return
+	}
+	o := f.opening
+	if !slices.Contains(o.tried, from) {
+		return
+	}
+	o.unanswered--
+	b.ask(now, f, o, m.Reason)
+}
+
+// expireOpenings asks another sidecar for each flow whose answer is late.
+func (b *Balancer) expireOpenings(now clock.Millis) {
+	for len(b.openings) > 0 {
+		a := b.openings[0]
+		o := a.opening
+		f := b.flows[o.key]
+		current := f != nil && f.opening == o && a.deadline == o.deadline
+		if current && a.deadline > now {
+			return
+		}
+		b.openings[0] = attempt{}
+		b.openings = b.openings[1:]
+		if !current {
+			continue
+		}
+		if now-o.began > openingLife {
+			f.opening = nil
+			continue
+		}
+		last := o.tried[len(o.tried)-1]
+		if c := b.sidecars[last]; c != nil {
+			c.late(now)
+		}
+		b.count(Event{Outcome: OutcomeTimedOut, Key: o.key, Sidecar: last, Attempt: len(o.tried)})
+		b.ask(now, f, o, 0)
+	}
+}
--- /dev/null
+++ b/internal/flow/balancer/sidecar.go
@@ -0,0 +1,160 @@
+package balancer
+
+import (
+	"net/netip"
+	"slices"
+
+	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/common/identity"
+	"github.com/orioledyke/orioledyke/internal/flow/relay"
+)
+
+const (
+	// reportLife is how long a report counts for placement: three reports may be
+	// lost.
+	reportLife clock.Millis = 800
+	// sidecarLife is how long a silent sidecar is still asked for open flows.
+	sidecarLife = 60 * clock.Second
+	// flowCost is the part of a slot that an open flow without a request counts.
+	flowCost = 0.03
+	// warmupCost multiplies the load of an upstream that has just started.
+	warmupCost = 1.6
+	// remoteCost is added to the load per slot of a sidecar in another data
+	// centre, because bytes between data centres are priced.
+	remoteCost = 0.1
+	// latePenalty is how long a sidecar that did not answer is chosen last.
+	latePenalty = clock.Second
+)
+
+// sidecar is what a balancer knows of one sidecar.
+type sidecar struct {
+	address netip.AddrPort
+	report  relay.Report
+	heard   clock.Millis
+	// placed counts the flows placed since the last news of its load.
+	placed int
+	// lateAt is the time of its last missing answer.
+	lateAt clock.Millis
+	isLate bool
+}
+
+// late records that the sidecar has not answered in time.
+func (c *sidecar) late(now clock.Millis) {
+	c.lateAt, c.isLate = now, true
+}
+
+// usable reports whether the sidecar may get new flows.
+func (c *sidecar) usable(now clock.Millis) bool {
+	return c.report.Accepting && now-c.heard <= reportLife
+}
+
+// cost estimates the wait for a slot: the load of each slot, and more for a host
+// that is far away or does not answer.
+func (c *sidecar) cost(now clock.Millis, dataCentre string) float64 {
+	load := float64(int(c.report.Load.Active)+c.placed) + flowCost*float64(c.report.Load.Flows)
+	if c.report.Warmup > 0 {
+		load = (load + 1) * warmupCost
+	}
+	cost := load / float64(max(c.report.Slots, 1))
+	if c.report.DataCentre != dataCentre {
+		cost += remoteCost
+	}
+	if c.isLate && now-c.lateAt < latePenalty {
+		cost += 100
+	}
+	return cost
+}
+
+// applyReport records the state of a sidecar.
+func (b *Balancer) applyReport(now clock.Millis, from netip.AddrPort, r relay.Report) {
+	c := b.sidecars[from]
+	if c == nil {
+		c = &sidecar{address: from}
+		b.sidecars[from] = c
+		b.addToService(c, r.Service)
+	} else if c.report.Service != r.Service {
+		b.removeFromService(c)
+		b.addToService(c, r.Service)
+	}
+	if c.report.Incarnation != r.Incarnation {
+		c.isLate = false
+	}
+	c.report, c.heard, c.placed = r, now, 0
+}
+
+func (b *Balancer) applyLoad(now clock.Millis, from netip.AddrPort, load relay.Load) {
+	if c := b.sidecars[from]; c != nil {
+		c.report.Load, c.heard, c.isLate = load, now, false
+		c.placed = max(c.placed-1, 0)
+	}
+}
+
+func (b *Balancer) addToService(c *sidecar, service identity.ServiceID) {
+	c.report.Service = service
+	b.services[service] = append(b.services[service], c)
+}
+
+func (b *Balancer) removeFromService(c *sidecar) {
+	members := b.services[c.report.Service]
+	members = slices.DeleteFunc(slices.Clone(members), func(m *sidecar) bool { return m == c })
+	if len(members) == 0 {
+		delete(b.services, c.report.Service)
+		return
+	}
+	b.services[c.report.Service] = members
+}
+
+func (b *Balancer) expireSidecars(now clock.Millis) {
+	for address, c := range b.sidecars {
+		if now-c.heard > sidecarLife {
+			b.removeFromService(c)
+			delete(b.sidecars, address)
+		}
+	}
+}
+
+// Usable returns the number of sidecars that may get new flows.
+func (b *Balancer) Usable(now clock.Millis) int {
+	count := 0
+	for _, c := range b.sidecars {
+		if c.usable(now) {
+			count++
+		}
+	}
+	return count
+}
+
+// pick chooses the sidecar for a new flow: the better of two random ones, so that
+// balancers that know the same loads do not all choose the same one. Later
+// attempts take the best of all.
+func (b *Balancer) pick(now clock.Millis, o *opening) *sidecar {
+	var candidates []*sidecar
+	for _, c := range b.services[o.service] {
+		if c.usable(now) && !slices.Contains(o.tried, c.address) {
+			candidates = append(candidates, c)
+		}
+	}
+	if len(candidates) == 0 {
+		return nil
+	}
+	if len(o.tried) > 0 || len(candidates) < 3 {
+		return b.cheapest(now, candidates)
+	}
+	i := b.config.Random(len(candidates))
+	j := (i + 1 + b.config.Random(len(candidates)-1)) % len(candidates)
+	return b.cheapest(now, []*sidecar{candidates[i], candidates[j]})
+}
+
+func (b *Balancer) cheapest(now clock.Millis, candidates []*sidecar) *sidecar {
+	return slices.MinFunc(candidates, func(x, y *sidecar) int {
+		a, b := x.cost(now, b.config.DataCentre), y.cost(now, b.config.DataCentre)
+		switch {
+		case a < b:
+			return -1
+		case a > b:
+			return 1
+		default:
+			return 0
+		}
+	})
+}
--- /dev/null
+++ b/internal/flow/node/balancer.go
@@ -0,0 +1,311 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/common/settings"
+	"github.com/orioledyke/orioledyke/internal/flow/balancer"
+	"github.com/orioledyke/orioledyke/internal/flow/configuration"
+	"github.com/orioledyke/orioledyke/internal/flow/relay"
+	"github.com/orioledyke/orioledyke/internal/flow/roster"
+	"github.com/orioledyke/orioledyke/internal/flow/route"
+	"github.com/orioledyke/orioledyke/internal/flow/segment"
+	"github.com/orioledyke/orioledyke/platform"
+	"github.com/samber/oops"
+	"go.uber.org/zap"
+)
+
+const (
+	// digestInterval is the time between two digests.
+	digestInterval clock.Millis = 500
+	// settleTime is how long a balancer without sidecars waits for their reports
+	// before it counts as ready.
+	settleTime = 2 * clock.Second
+	// quietTime without a packet shows that the routers have stopped sending here.
+	quietTime clock.Millis = 1200
+	drainPoll clock.Millis = 100
+	// peerDelay is how long the store may take to deliver a version that a peer
+	// has, before the peer is asked for it.
+	peerDelay clock.Millis = 250
+	// peerTimeout limits a call to a peer.
+	peerTimeout = 500 * time.Millisecond
+	// maxConfiguration limits what a peer may send.
+	maxConfiguration = 4 << 20
+
+	configurationPath = "/configuration"
+)
+
+// balancerNode is a running balancer.
+type balancerNode struct {
+	*base
+	machine  *balancer.Balancer
+	sidecars *roster.Roster
+	peers    *http.Client
+	started  clock.Millis
+	// armed tells that a timer waits for the next late answer.
+	armed bool
+	// packet is the time of the last packet of a client.
+	packet clock.Millis
+	// newer is the highest version that a peer has, heard from newerAt at
+	// newerSince.
+	newer      uint64
+	newerAt    netip.Addr
+	newerSince clock.Millis
+}
+
+// RunBalancer runs a balancer until options.Stop ends, and drains it then. It
+// returns at once with an error if the balancer cannot start.
+func RunBalancer(ctx context.Context, options Options, s settings.FlowBalancer) error {
+	b, err := newBase(options, s.FlowProcess)
+	if err != nil {
+		return err
+	}
+	defer b.close()
+	n := &balancerNode{
+		base: b, sidecars: roster.New(s.RelayAddress.Addr()), started: b.clock.Now(),
+		peers: &http.Client{Timeout: peerTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
+	}
+	n.machine = balancer.New(balancer.Config{
+		DataCentre: s.DataCentre,
+		Decode:     func(packet []byte) (segment.Segment, error) { return platform.DecodeSegment(packet, false) },
+		Reset:      platform.EncodeReset,
+		ToSidecar:  func(to netip.AddrPort, data []byte) { b.send(b.relay, to, data) },
+		ToClient:   b.toClient,
+		Random:     random,
+		Observe:    n.observe,
+	})
+	n.registerMetrics()
+	if err := n.start(); err != nil {
+		return err
+	}
+	return b.run(ctx, n.drain)
+}
+
+func (n *balancerNode) start() error {
+	n.addReader("packets", n.packets, platform.MaxSegment+1, n.handlePacket)
+	n.addReader("relay", n.relay, relay.MaxMessage, n.handleRelay)
+	n.addTimer("digest", digestInterval, n.sendDigests)
+	n.tree.Add("first-digest", func(ctx context.Context) error { n.sendDigests(ctx); return nil })
+	n.tree.Add("configuration", configuration.New(configuration.Config{
+		Read: n.store.Configuration, Watch: n.store.WatchConfiguration,
+		Apply:    func(content []byte) error { return n.applyConfiguration("store", content) },
+		Changed:  n.storeChanged,
+		Rejected: func(err error) { n.logger.Warn("configuration-rejected", zap.Error(err)) },
+		Sleep:    sleep, Random: random,
+	}).Serve)
+	n.tree.Add("directory", n.newDirectory().serve)
+	if err := n.addSettings(n.applySettings); err != nil {
+		return err
+	}
+	if err := n.addServer("ready", n.settings.ReadyAddress, platform.NewReadyHandler(n.ready)); err != nil {
+		return err
+	}
+	return n.addServer("relay-server", n.settings.RelayAddress, http.HandlerFunc(n.serveConfiguration))
+}
+
+func (n *balancerNode) applySettings(data []byte) error {
+	s, err := settings.ParseAs[settings.FlowBalancer](n.options.Path, data)
+	if err != nil {
+		return err
+	}
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.settings.Seeds = s.Seeds
+	n.settings.DrainTimeout = s.DrainTimeout
+	return nil
+}
+
+func (n *balancerNode) handlePacket(_ netip.AddrPort, packet []byte) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	now := n.clock.Now()
+	n.packet = now
+	n.machine.HandleClient(now, packet)
+	n.arm(now)
+}
+
+// arm starts a timer for the next late answer.
+func (n *balancerNode) arm(now clock.Millis) {
+	next := n.machine.NextDeadline()
+	if n.armed || next == 0 {
+		return
+	}
+	n.armed = true
+	time.AfterFunc(max(next-now, 1).Duration(), func() {
+		n.mutex.Lock()
+		defer n.mutex.Unlock()
+		n.armed = false
+		now := n.clock.Now()
+		n.machine.Tick(now)
+		n.arm(now)
+	})
+}
+
+func (n *balancerNode) handleRelay(from netip.AddrPort, data []byte) {
+	m, err := relay.Decode(data)
+	if err != nil {
+		n.logger.Warn("message-invalid", zap.Stringer("from", from), zap.Error(err))
+		return
+	}
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	now := n.clock.Now()
+	if m.Kind == relay.KindDigest {
+		n.handleDigest(now, from.Addr(), m.Digest)
+		return
+	}
+	if n.sidecars.Heard(now, from.Addr()) {
+		n.logger.Info("sidecar-appeared", zap.Stringer("sidecar", from))
+	}
+	n.machine.HandleSidecar(now, from, m)
+	n.arm(now)
+}
+
+func (n *balancerNode) handleDigest(now clock.Millis, from netip.Addr, d relay.Digest) {
+	if n.balancers.Heard(now, from) {
+		n.logger.Info("balancer-appeared", zap.Stringer("balancer", from))
+	}
+	n.balancers.Learned(now, d.Balancers)
+	n.sidecars.Learned(now, d.Sidecars)
+	if d.Version > n.newer {
+		n.newer, n.newerAt, n.newerSince = d.Version, from, now
+	}
+}
+
+// sendDigests tells others what this balancer knows, and asks a peer for a
+// configuration that the store has not delivered.
+func (n *balancerNode) sendDigests(ctx context.Context) {
+	n.mutex.Lock()
+	now := n.clock.Now()
+	n.machine.Tick(now)
+	n.balancers.Learned(now, n.seedHosts())
+	balancers, sidecars := n.balancers.Live(now), n.sidecars.Live(now)
+	m := relay.Message{Kind: relay.KindDigest, Digest: relay.Digest{
+		Version:   n.machine.Table().Version(),
+		Balancers: balancers[:min(len(balancers), roster.MaxList)],
+		Sidecars:  sidecars[:min(len(sidecars), roster.MaxList)],
+	}}
+	targets := append(balancers, n.balancers.Silent(now)...)
+	targets = append(append(targets, sidecars...), n.sidecars.Silent(now)...)
+	n.balancers.Expire(now)
+	n.sidecars.Expire(now)
+	stopping := n.stopping
+	behind, peer := n.newer > n.machine.Table().Version() && now-n.newerSince >= peerDelay, n.newerAt
+	n.mutex.Unlock()
+	if stopping {
+		return
+	}
+	data, err := m.Append(nil)
+	if err != nil {
+		n.logger.Error("digest-failed", zap.Error(err))
+		return
+	}
+	for _, target := range targets {
+		n.relayTo(target, data)
+	}
+	if behind {
+		n.fetch(ctx, peer)
+	}
+}
+
+// fetch asks a peer for its configuration.
+func (n *balancerNode) fetch(ctx context.Context, peer netip.Addr) {
+	address := netip.AddrPortFrom(peer, n.settings.RelayAddress.Port())
+	content, err := n.read(ctx, "http://"+address.String()+configurationPath)
+	if err == nil {
+		err = n.applyConfiguration("peer", content)
+	}
+	if err != nil {
+		n.logger.Warn("peer-configuration-failed", zap.Stringer("balancer", peer), zap.Error(err))
+		n.mutex.Lock()
+		// The next digest names a peer that has the version.
+		n.newer = n.machine.Table().Version()
+		n.mutex.Unlock()
+	}
+}
+
+func (n *balancerNode) read(ctx context.Context, url string) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := n.peers.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, oops.Errorf("status %d", response.StatusCode)
+	}
+	return io.ReadAll(io.LimitReader(response.Body, maxConfiguration))
+}
+
+// serveConfiguration answers peers.
+func (n *balancerNode) serveConfiguration(w http.ResponseWriter, r *http.Request) {
+	n.mutex.Lock()
+	content := n.machine.Table().Document()
+	n.mutex.Unlock()
+	if r.URL.Path != configurationPath || content == nil {
+		http.NotFound(w, r)
+		return
+	}
+	// The peer sees a failed write as a missing answer and calls again.
+	_, _ = w.Write(content)
+}
+
+// applyConfiguration puts a newer configuration into effect.
+func (n *balancerNode) applyConfiguration(source string, content []byte) error {
+	config, err := platform.DecodeConfiguration(content)
+	if err != nil {
+		return err
+	}
+	table := route.NewTable(config)
+	n.mutex.Lock()
+	applied := n.machine.SetTable(table)
+	n.mutex.Unlock()
+	if applied {
+		n.logger.Info("configuration-applied", zap.Uint64("version", table.Version()),
+			zap.Int("routes", table.Len()), zap.String("source", source))
+	}
+	return nil
+}
+
+func (n *balancerNode) storeChanged(err error) {
+	if err != nil {
+		n.logger.Warn("store-lost", zap.Error(err))
+		return
+	}
+	n.logger.Info("store-regained")
+}
+
+// ready reports whether routers may send packets here: with a configuration, and
+// with sidecars unless none has reported for a while.
+func (n *balancerNode) ready() bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	now := n.clock.Now()
+	if n.stopping || n.machine.Table() == nil {
+		return false
+	}
+	return n.machine.Usable(now) > 0 || now-n.started > settleTime
+}
+
+// drain forwards packets until the routers have stopped sending them here. The
+// balancer holds no flow, so nothing else has to end.
+func (n *balancerNode) drain(ctx context.Context) {
+	began := n.clock.Now()
+	for sleep(ctx, drainPoll) == nil {
+		n.mutex.Lock()
+		now := n.clock.Now()
+		quiet := now - max(n.packet, began)
+		n.mutex.Unlock()
+		if quiet >= quietTime || now-began >= n.drainLimit() {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/flow/node/metrics.go
@@ -0,0 +1,74 @@
+package node
+
+import (
+	"github.com/orioledyke/orioledyke/internal/flow/balancer"
+	"github.com/orioledyke/orioledyke/internal/flow/sidecar"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+)
+
+// counterFunc registers a counter that is read when metrics are collected, so that
+// packets cost nothing more.
+func (b *base) counterFunc(name, help, outcome string, read func() uint64) {
+	b.telemetry.Registry().MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: name, Help: help, ConstLabels: prometheus.Labels{"outcome": outcome},
+	}, func() float64 {
+		b.mutex.Lock()
+		defer b.mutex.Unlock()
+		return float64(read())
+	}))
+}
+
+func (b *base) gaugeFunc(name, help string, read func() float64) {
+	b.telemetry.Registry().MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help},
+		func() float64 {
+			b.mutex.Lock()
+			defer b.mutex.Unlock()
+			return read()
+		}))
+}
+
+func (n *balancerNode) registerMetrics() {
+	for o := range balancer.OutcomeCount {
+		n.counterFunc("orioledyke_flow_balancer_decisions_total", "Decisions about packets and flows.", o.String(),
+			func() uint64 { return n.machine.Count(o) })
+	}
+	n.gaugeFunc("orioledyke_flow_balancer_flows", "Flows whose owner is remembered.",
+		func() float64 { return float64(n.machine.Flows()) })
+	n.gaugeFunc("orioledyke_flow_balancer_configuration_version", "Version of the configuration in effect.",
+		func() float64 { return float64(n.machine.Table().Version()) })
+	n.gaugeFunc("orioledyke_flow_balancer_usable_sidecars", "Sidecars that may get new flows.",
+		func() float64 { return float64(n.machine.Usable(n.clock.Now())) })
+}
+
+// observe logs a decision about a flow.
+func (n *balancerNode) observe(e balancer.Event) {
+	switch e.Outcome {
+	case balancer.OutcomeAccepted, balancer.OutcomeInvalid:
+		return
+	}
+	n.logger.Info("flow-"+e.Outcome.String(), zap.Stringer("flow", e.Key), zap.Stringer("sidecar", e.Sidecar),
+		zap.String("reason", e.Reason.String()), zap.Uint64("version", e.Version),
+		zap.Int64("age-ms", int64(e.Age)), zap.Int("attempt", e.Attempt))
+}
+
+func (n *sidecarNode) registerMetrics() {
+	for o := range sidecar.OutcomeCount {
+		n.counterFunc("orioledyke_flow_sidecar_packets_total", "Decisions about packets.", o.String(),
+			func() uint64 { return n.machine.Count(o) })
+	}
+	n.gaugeFunc("orioledyke_flow_sidecar_flows", "Open flows of the upstream.",
+		func() float64 { return float64(n.machine.Load().Flows) })
+	n.gaugeFunc("orioledyke_flow_sidecar_requests", "Requests in progress.",
+		func() float64 { return float64(n.machine.Load().Active) })
+}
+
+// observe logs a decision about a flow.
+func (n *sidecarNode) observe(e sidecar.Event) {
+	switch e.Outcome {
+	case sidecar.OutcomeOffered, sidecar.OutcomeInvalid:
+		return
+	}
+	n.logger.Info("flow-"+e.Outcome.String(), zap.Stringer("flow", e.Key), zap.Stringer("balancer", e.Balancer),
+		zap.String("reason", e.Reason.String()), zap.Uint16("active", e.Load.Active), zap.Uint16("flows", e.Load.Flows))
+}
--- /dev/null
+++ b/internal/flow/node/node.go
@@ -0,0 +1,258 @@
+// Package node assembles the processes that carry flows without a connection ID:
+// sockets, timers and servers around the state machines of a balancer or sidecar.
+package node
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/common/reload"
+	"github.com/orioledyke/orioledyke/internal/common/settings"
+	"github.com/orioledyke/orioledyke/internal/common/supervisor"
+	"github.com/orioledyke/orioledyke/internal/common/telemetry"
+	"github.com/orioledyke/orioledyke/internal/flow/roster"
+	"github.com/orioledyke/orioledyke/platform"
+	"github.com/samber/oops"
+	"go.uber.org/zap"
+)
+
+const (
+	// requestTimeout ends HTTP connections that send or read nothing.
+	requestTimeout = 10 * time.Second
+	// reloadInterval is the time between two looks at the settings file, for
+	// changes that no signal announces.
+	reloadInterval = 2 * time.Second
+	// flushTimeout is how long the log and spans may take to be written at the end.
+	flushTimeout = time.Second
+	// socketBuffer is the kernel buffer of a packet socket: 1,700 full packets.
+	socketBuffer = 2 << 20
+	// stopMargin is the part of the drain timeout that is left for the end itself.
+	stopMargin = clock.Second
+)
+
+// Options are what a role needs from its caller.
+type Options struct {
+	// Path is the settings file, which is read again when it changes.
+	Path string
+	// Stop ends when the process has to drain, and Reload receives when the
+	// settings may have changed.
+	Stop   context.Context
+	Reload <-chan os.Signal
+}
+
+// base is what a balancer and a sidecar have in common.
+type base struct {
+	options   Options
+	settings  settings.FlowProcess
+	clock     clock.Clock
+	telemetry *telemetry.Telemetry
+	logger    *zap.Logger
+	tree      *supervisor.Tree
+	store     *platform.Store
+	relay     *net.UDPConn
+	packets   *net.UDPConn
+
+	// mutex guards the state machines.
+	mutex     sync.Mutex
+	balancers *roster.Roster
+	stopping  bool
+}
+
+func newBase(options Options, s settings.FlowProcess) (*base, error) {
+	observed, err := telemetry.New(telemetry.Config{
+		Role: s.Role, Host: s.Host, DataCentre: s.DataCentre, Output: os.Stdout, LineLimit: telemetry.DefaultLineLimit,
+		ObserveAddress: s.ObserveAddress,
+	})
+	if err != nil {
+		return nil, err
+	}
+	b := &base{
+		options: options, settings: s, clock: clock.System(), telemetry: observed, logger: observed.Logger(),
+		store: platform.NewStore(s.StoreAddress), balancers: roster.New(s.RelayAddress.Addr()),
+	}
+	b.tree = supervisor.New(string(s.Role), b.logger)
+	b.tree.Add("observe", observed.Serve)
+	if b.relay, err = listenUDP("relay-address", s.RelayAddress); err == nil {
+		b.packets, err = listenUDP("packet-address", s.PacketAddress)
+	}
+	if err != nil {
+		b.close()
+		return nil, err
+	}
+	return b, nil
+}
+
+func listenUDP(key string, address netip.AddrPort) (*net.UDPConn, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return nil, oops.Code(key+"-unavailable").Wrapf(err, "open %s %s", key, address)
+	}
+	if err := conn.SetReadBuffer(socketBuffer); err != nil {
+		return nil, errors.Join(oops.Code(key+"-unavailable").Wrapf(err, "set the buffer of %s", key), conn.Close())
+	}
+	return conn, nil
+}
+
+// close ends sockets and telemetry.
+func (b *base) close() {
+	for _, conn := range []*net.UDPConn{b.relay, b.packets} {
+		if conn != nil {
+			_ = conn.Close()
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	if err := b.telemetry.Shutdown(ctx); err != nil {
+		b.logger.Warn("telemetry-shutdown-failed", zap.Error(err))
+	}
+}
+
+// run runs the tree until drain returns.
+func (b *base) run(ctx context.Context, drain func(context.Context)) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	b.logger.Info("started", zap.Stringer("relay", b.settings.RelayAddress), zap.Stringer("store", b.settings.StoreAddress))
+	served := make(chan error, 1)
+	go func() { served <- b.tree.Serve(ctx) }()
+	select {
+	case <-ctx.Done():
+	case <-b.options.Stop.Done():
+		b.mutex.Lock()
+		b.stopping = true
+		b.mutex.Unlock()
+		b.logger.Info("draining")
+		drain(ctx)
+	}
+	b.logger.Info("stopped")
+	return nil
+}
+
+// addReader adds a part that hands every datagram of a socket to handle.
+func (b *base) addReader(name string, conn *net.UDPConn, size int, handle func(from netip.AddrPort, data []byte)) {
+	b.tree.Add(name, func(ctx context.Context) error {
+		stop := context.AfterFunc(ctx, func() { _ = conn.SetReadDeadline(time.Now()) })
+		defer stop()
+		buffer := make([]byte, size)
+		for ctx.Err() == nil {
+			n, from, err := conn.ReadFromUDPAddrPort(buffer)
+			if err != nil {
+				if ctx.Err() == nil {
+					b.logger.Warn("socket-error", zap.String("socket", name), zap.Error(err))
+				}
+				continue
+			}
+			handle(from, buffer[:n])
+		}
+		return nil
+	})
+}
+
+// addServer adds an HTTP server.
+func (b *base) addServer(name string, address netip.AddrPort, handler http.Handler) error {
+	listener, err := net.Listen("tcp4", address.String())
+	if err != nil {
+		return oops.Code(name+"-address-unavailable").Wrapf(err, "open %s-address %s", name, address)
+	}
+	server := &http.Server{Handler: handler, ReadTimeout: requestTimeout, WriteTimeout: requestTimeout}
+	b.tree.Add(name, func(ctx context.Context) error {
+		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+		defer stop()
+		if err := server.Serve(listener); ctx.Err() == nil {
+			return oops.Code(name + "-server-failed").Wrap(err)
+		}
+		return nil
+	})
+	return nil
+}
+
+// addTimer adds a part that calls work in every period.
+func (b *base) addTimer(name string, period clock.Millis, work func(context.Context)) {
+	b.tree.Add(name, func(ctx context.Context) error {
+		for sleep(ctx, period) == nil {
+			work(ctx)
+		}
+		return nil
+	})
+}
+
+// addSettings adds a part that applies changed settings.
+func (b *base) addSettings(apply func(data []byte) error) error {
+	watcher, err := reload.New(reload.Config{
+		Name: "settings", Files: []string{b.options.Path},
+		Apply:  func(contents [][]byte) error { return apply(contents[0]) },
+		Logged: b.telemetry.Logged,
+	})
+	if err != nil {
+		return err
+	}
+	b.tree.Add("settings", func(ctx context.Context) error {
+		ticker := time.NewTicker(reloadInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-b.options.Reload:
+				b.logger.Info("reload-requested")
+			case <-ticker.C:
+			}
+			watcher.Check()
+		}
+	})
+	return nil
+}
+
+// send sends a datagram. A failed send is a lost datagram, which the ends of the
+// flow repeat.
+func (b *base) send(conn *net.UDPConn, to netip.AddrPort, data []byte) {
+	if _, err := conn.WriteToUDPAddrPort(data, to); err != nil && !errors.Is(err, net.ErrClosed) {
+		b.logger.Warn("send-failed", zap.Stringer("to", to), zap.Error(err))
+	}
+}
+
+func (b *base) toClient(to netip.Addr, packet []byte) {
+	b.send(b.packets, netip.AddrPortFrom(to, b.settings.PacketAddress.Port()), packet)
+}
+
+func (b *base) relayTo(host netip.Addr, data []byte) {
+	b.send(b.relay, netip.AddrPortFrom(host, b.settings.RelayAddress.Port()), data)
+}
+
+func (b *base) seedHosts() []netip.Addr {
+	hosts := make([]netip.Addr, 0, len(b.settings.Seeds))
+	for _, seed := range b.settings.Seeds {
+		hosts = append(hosts, seed.Addr())
+	}
+	return hosts
+}
+
+// drainLimit is how long the process may run on after SIGTERM.
+func (b *base) drainLimit() clock.Millis {
+	return max(clock.FromDuration(b.settings.DrainTimeout)-stopMargin, 0)
+}
+
+func sleep(ctx context.Context, d clock.Millis) error {
+	timer := time.NewTimer(d.Duration())
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+func random(n int) int {
+	if n <= 0 {
+		return 0
+	}
+	return rand.IntN(n)
+}
--- /dev/null
+++ b/internal/flow/node/sidecar.go
@@ -0,0 +1,284 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/netip"
+
+	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/common/identity"
+	"github.com/orioledyke/orioledyke/internal/common/settings"
+	"github.com/orioledyke/orioledyke/internal/flow/registration"
+	"github.com/orioledyke/orioledyke/internal/flow/relay"
+	"github.com/orioledyke/orioledyke/internal/flow/sidecar"
+	"github.com/orioledyke/orioledyke/platform"
+	"go.uber.org/zap"
+)
+
+const (
+	// reportInterval is the time between two reports to each balancer.
+	reportInterval clock.Millis = 200
+	// contactInterval is the time between two reports to hosts that may run a
+	// balancer but are not known to.
+	contactInterval = clock.Second
+	// searchDelay is how long a sidecar hears no balancer before it reads the
+	// store's list of them.
+	searchDelay = 2 * clock.Second
+	// freshSequence is the highest number of a first heartbeat that shows that the
+	// upstream has started with this process, so that it holds no unknown flow.
+	freshSequence = 2
+	// finishTime is how long a stopping sidecar stays without a request in
+	// progress.
+	finishTime clock.Millis = 300
+)
+
+// sidecarNode is a running sidecar.
+type sidecarNode struct {
+	*base
+	own          settings.FlowSidecar
+	machine      *sidecar.Sidecar
+	registration *registration.Registration
+	outbound     *net.UDPConn
+	incarnation  identity.OwnerID
+	started      clock.Millis
+	contacted    clock.Millis
+	searched     clock.Millis
+	// born is the start of the upstream whose flows the machine holds.
+	born int64
+	id   string
+}
+
+// RunSidecar runs a sidecar until options.Stop ends, and drains it then. It returns
+// at once with an error if the sidecar cannot start.
+func RunSidecar(ctx context.Context, options Options, s settings.FlowSidecar) error {
+	b, err := newBase(options, s.FlowProcess)
+	if err != nil {
+		return err
+	}
+	defer b.close()
+	n := &sidecarNode{
+		base: b, own: s, incarnation: identity.NewOwnerID(), started: b.clock.Now(),
+		registration: registration.New(registration.Config{Address: s.UpstreamAddress, Service: s.Service}),
+	}
+	if n.outbound, err = listenUDP("outbound-address", s.OutboundAddress); err != nil {
+		return err
+	}
+	defer n.outbound.Close()
+	n.machine = sidecar.New(sidecar.Config{
+		Decode: platform.DecodeSegment, ClearReturned: platform.ClearReturned,
+		ToUpstream: func(packet []byte) { b.send(n.outbound, n.own.UpstreamAddress, packet) },
+		ToClient:   b.toClient,
+		ToBalancer: func(to netip.AddrPort, data []byte) { b.send(b.relay, to, data) },
+		Observe:    n.observe,
+	})
+	n.machine.SetLearning(true)
+	n.registerMetrics()
+	if err := n.start(); err != nil {
+		return err
+	}
+	return b.run(ctx, n.drain)
+}
+
+func (n *sidecarNode) start() error {
+	n.addReader("relay", n.relay, relay.MaxMessage, n.handleRelay)
+	n.addReader("outbound", n.outbound, platform.MaxSegment+1, n.handleOutbound)
+	n.addTimer("report", reportInterval, n.sendReports)
+	if err := n.addSettings(n.applySettings); err != nil {
+		return err
+	}
+	if err := n.addServer("ready", n.settings.ReadyAddress, platform.NewReadyHandler(n.ready)); err != nil {
+		return err
+	}
+	return n.addServer("control", n.own.ControlAddress, platform.NewUpstreamHandler(platform.UpstreamConfig{
+		Heartbeat: n.heartbeat, Leave: n.leave,
+		Rejected: func(id string, err error) {
+			n.logger.Warn("heartbeat-invalid", zap.String("upstream", id), zap.Error(err))
+		},
+	}))
+}
+
+func (n *sidecarNode) applySettings(data []byte) error {
+	s, err := settings.ParseAs[settings.FlowSidecar](n.options.Path, data)
+	if err != nil {
+		return err
+	}
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.settings.Seeds = s.Seeds
+	n.settings.DrainTimeout = s.DrainTimeout
+	n.own.Service, n.own.UpstreamAddress = s.Service, s.UpstreamAddress
+	n.registration.Configure(registration.Config{Address: s.UpstreamAddress, Service: s.Service})
+	return nil
+}
+
+func (n *sidecarNode) handleRelay(from netip.AddrPort, data []byte) {
+	m, err := relay.Decode(data)
+	if err != nil {
+		n.logger.Warn("message-invalid", zap.Stringer("from", from), zap.Error(err))
+		return
+	}
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	now := n.clock.Now()
+	switch m.Kind {
+	case relay.KindForward:
+		n.machine.HandleForward(now, from, m)
+	case relay.KindDigest:
+		appeared := n.balancers.Heard(now, from.Addr())
+		n.balancers.Learned(now, m.Digest.Balancers)
+		if appeared {
+			n.logger.Info("balancer-appeared", zap.Stringer("balancer", from))
+			n.reportTo([]netip.Addr{from.Addr()})
+		}
+	}
+}
+
+func (n *sidecarNode) handleOutbound(_ netip.AddrPort, packet []byte) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.machine.HandleUpstream(n.clock.Now(), packet)
+}
+
+// heartbeat applies a heartbeat of the upstream. When it returns, the state is in
+// effect for new flows.
+func (n *sidecarNode) heartbeat(h registration.Heartbeat) registration.Verdict {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	now := n.clock.Now()
+	verdict := n.registration.Heartbeat(now, h)
+	if verdict != registration.Applied {
+		n.logger.Info("heartbeat-ignored", zap.String("upstream", h.ID), zap.Int64("born", h.Born),
+			zap.Uint64("sequence", h.Sequence), zap.Stringer("reason", verdict))
+		return verdict
+	}
+	if n.id != h.ID || n.born != h.Born {
+		n.replaceUpstream(h)
+	}
+	n.applyRegistration(now)
+	return verdict
+}
+
+// replaceUpstream starts with the flows of another incarnation.
+func (n *sidecarNode) replaceUpstream(h registration.Heartbeat) {
+	first := n.id == ""
+	n.logger.Info("upstream-registered", zap.String("upstream", h.ID), zap.Int64("born", h.Born),
+		zap.Uint64("sequence", h.Sequence), zap.String("service", h.Service))
+	if !first {
+		n.machine.Forget()
+	}
+	if !first || h.Sequence <= freshSequence {
+		n.machine.SetLearning(false)
+	}
+	n.id, n.born = h.ID, h.Born
+}
+
+// applyRegistration puts the state of the upstream into effect, and tells balancers
+// at once when it changed.
+func (n *sidecarNode) applyRegistration(now clock.Millis) {
+	before := n.machine.Accepting()
+	switch current, known := n.registration.Current(); {
+	case n.stopping:
+		n.machine.Refuse(relay.ReasonStopping)
+	case !known:
+		n.machine.Refuse(relay.ReasonUnregistered)
+	case !n.registration.Accepting():
+		n.machine.Refuse(relay.ReasonDraining)
+	default:
+		n.machine.Serve(platform.ServiceID(current.Service))
+	}
+	if n.machine.Accepting() != before {
+		n.logger.Info("upstream-changed", zap.Bool("accepting", n.machine.Accepting()))
+		n.reportTo(n.balancers.Live(now))
+	}
+}
+
+func (n *sidecarNode) leave(id string, born int64) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	verdict := n.registration.Leave(id, born)
+	n.logger.Info("upstream-left", zap.String("upstream", id), zap.Stringer("outcome", verdict))
+	n.applyRegistration(n.clock.Now())
+}
+
+// sendReports tells balancers the state of the upstream.
+func (n *sidecarNode) sendReports(ctx context.Context) {
+	n.mutex.Lock()
+	now := n.clock.Now()
+	n.machine.Tick(now)
+	if now-n.started > clock.FromDuration(n.settings.FlowLifetime) {
+		n.machine.SetLearning(false)
+	}
+	targets := n.balancers.Live(now)
+	search := len(targets) == 0 && now-n.started > searchDelay && now-n.searched > searchDelay
+	if now-n.contacted >= contactInterval || n.contacted == 0 {
+		n.contacted = now
+		n.balancers.Learned(now, n.seedHosts())
+		n.balancers.Expire(now)
+		targets = append(targets, n.balancers.Silent(now)...)
+	}
+	if search {
+		n.searched = now
+	}
+	n.reportTo(targets)
+	n.mutex.Unlock()
+	if search {
+		n.findBalancers(ctx)
+	}
+}
+
+// findBalancers reads the store's list of balancers.
+func (n *sidecarNode) findBalancers(ctx context.Context) {
+	hosts, err := n.store.ListBalancers(ctx)
+	if err != nil {
+		n.logger.Warn("directory-failed", zap.Error(err))
+		return
+	}
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.balancers.Learned(n.clock.Now(), hosts)
+}
+
+// reportTo sends a report to hosts of balancers.
+func (n *sidecarNode) reportTo(hosts []netip.Addr) {
+	current, _ := n.registration.Current()
+	m := relay.Message{Kind: relay.KindReport, Report: relay.Report{
+		Incarnation: n.incarnation, Service: platform.ServiceID(n.own.Service), DataCentre: n.settings.DataCentre,
+		Accepting: n.machine.Accepting(), Slots: current.Slots,
+		Warmup: n.registration.Warmup(n.clock.Now()), Load: n.machine.Load(),
+	}}
+	data, err := m.Append(nil)
+	if err != nil {
+		n.logger.Error("report-failed", zap.Error(err))
+		return
+	}
+	for _, host := range hosts {
+		n.relayTo(host, data)
+	}
+}
+
+// ready reports whether the sidecar serves its upstream.
+func (n *sidecarNode) ready() bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return !n.stopping && n.machine.Accepting()
+}
+
+// drain refuses new flows and forwards packets until no request is in progress.
+func (n *sidecarNode) drain(ctx context.Context) {
+	began := n.clock.Now()
+	n.mutex.Lock()
+	n.applyRegistration(began)
+	n.mutex.Unlock()
+	idleSince := began
+	for sleep(ctx, drainPoll) == nil {
+		n.mutex.Lock()
+		now := n.clock.Now()
+		if n.machine.Load().Active > 0 {
+			idleSince = now
+		}
+		n.mutex.Unlock()
+		if now-idleSince >= finishTime || now-began >= n.drainLimit() {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/flow/relay/message.go
@@ -0,0 +1,188 @@
+// Package relay is the codec of the datagrams between balancers and sidecars that
+// carry flows without a connection ID. Fixed heads carry what every packet needs;
+// JSON carries reports and digests, of which a process sends a few each second.
+package relay
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"net/netip"
+
+	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/common/identity"
+	"github.com/orioledyke/orioledyke/internal/flow/segment"
+)
+
+// Kind is the kind of a Message.
+type Kind byte
+
+// Kinds of messages.
+const (
+	// KindForward carries a client's packet to a sidecar.
+	KindForward Kind = iota + 1
+	// KindAccepted tells the balancer that the upstream accepts the flow.
+	KindAccepted
+	// KindRefused tells the balancer that the upstream has not taken the flow.
+	KindRefused
+	// KindClaimed tells the balancer that the sidecar's upstream holds the flow.
+	KindClaimed
+	// KindNotHeld returns a packet of a flow that the upstream does not hold.
+	KindNotHeld
+	// KindReport carries the state of a sidecar to a balancer.
+	KindReport
+	// KindDigest carries what a balancer knows to other processes.
+	KindDigest
+)
+
+// MaxMessage is the length of the longest datagram in bytes.
+const MaxMessage = 16 << 10
+
+// Reason tells why a flow was refused.
+type Reason byte
+
+// Reasons of KindRefused.
+const (
+	// ReasonReturned means that the upstream returned the packet.
+	ReasonReturned Reason = iota + 1
+	// ReasonDraining means that the upstream is leaving.
+	ReasonDraining
+	// ReasonUnregistered means that no upstream has registered here.
+	ReasonUnregistered
+	// ReasonService means that the upstream belongs to another service.
+	ReasonService
+	// ReasonBusy means that the upstream has more work than slots.
+	ReasonBusy
+	// ReasonStopping means that the sidecar is stopping.
+	ReasonStopping
+)
+
+var reasonNames = map[Reason]string{
+	ReasonReturned: "returned", ReasonDraining: "draining", ReasonUnregistered: "unregistered",
+	ReasonService: "other-service", ReasonBusy: "busy", ReasonStopping: "stopping",
+}
+
+// String returns the name of the reason in logs.
+func (r Reason) String() string { return reasonNames[r] }
+
+// Load is the work at an upstream.
+type Load struct {
+	// Active is the number of requests in progress.
+	Active uint16 `json:"active"`
+	// Flows is the number of open flows.
+	Flows uint16 `json:"flows"`
+}
+
+// Report is the state of a sidecar and its upstream.
+type Report struct {
+	// Incarnation identifies the run of the sidecar.
+	Incarnation identity.OwnerID   `json:"incarnation"`
+	Service     identity.ServiceID `json:"service"`
+	DataCentre  string             `json:"data-centre"`
+	// Accepting tells that the upstream takes new flows.
+	Accepting bool `json:"accepting"`
+	// Slots is the number of requests that the upstream works on at a time.
+	Slots int `json:"slots"`
+	// Warmup is how much longer the upstream is slow after its start.
+	Warmup clock.Millis `json:"warmup"`
+	Load   Load         `json:"load"`
+}
+
+// Digest is what a balancer knows.
+type Digest struct {
+	// Version is that of the configuration in effect; 0 means none.
+	Version uint64 `json:"version"`
+	// Balancers and Sidecars are hosts that the sender has heard from.
+	Balancers []netip.Addr `json:"balancers"`
+	Sidecars  []netip.Addr `json:"sidecars"`
+}
+
+// Message is one datagram. Which fields are set follows from Kind.
+type Message struct {
+	Kind Kind
+	// Broadcast tells that every sidecar of the service gets the packet.
+	Broadcast bool
+	// Service is the service that the packet may enter.
+	Service identity.ServiceID
+	Reason  Reason
+	Key     segment.Key
+	Load    Load
+	// Packet is the client's packet, a part of the decoded datagram.
+	Packet []byte
+	Report Report
+	Digest Digest
+}
+
+const (
+	forwardHead   = 2 + identity.ServiceIDSize
+	answerSize    = 2 + 4 + segment.KeySize
+	flagBroadcast = 1
+)
+
+var errMessage = errors.New("relay: datagram is not a message of this protocol")
+
+// Append appends the encoded message to b.
+func (m *Message) Append(b []byte) ([]byte, error) {
+	switch m.Kind {
+	case KindForward, KindNotHeld:
+		var head [forwardHead]byte
+		head[0] = byte(m.Kind)
+		if m.Broadcast {
+			head[1] = flagBroadcast
+		}
+		identity.PutUint40(head[2:], uint64(m.Service))
+		return append(append(b, head[:]...), m.Packet...), nil
+	case KindAccepted, KindRefused, KindClaimed:
+		b = append(b, byte(m.Kind), byte(m.Reason))
+		b = binary.BigEndian.AppendUint16(b, m.Load.Active)
+		b = binary.BigEndian.AppendUint16(b, m.Load.Flows)
+		return m.Key.Append(b), nil
+	case KindReport:
+		return appendJSON(b, m.Kind, m.Report)
+	case KindDigest:
+		return appendJSON(b, m.Kind, m.Digest)
+	default:
+		return b, errMessage
+	}
+}
+
+func appendJSON(b []byte, kind Kind, body any) ([]byte, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return b, err
+	}
+	return append(append(b, byte(kind)), data...), nil
+}
+
+// Decode reads a datagram. Packet refers to data.
+func Decode(data []byte) (Message, error) {
+	if len(data) == 0 {
+		return Message{}, errMessage
+	}
+	m := Message{Kind: Kind(data[0])}
+	switch m.Kind {
+	case KindForward, KindNotHeld:
+		if len(data) < forwardHead {
+			return Message{}, errMessage
+		}
+		m.Broadcast = data[1]&flagBroadcast != 0
+		m.Service = identity.ServiceID(identity.GetUint40(data[2:]))
+		m.Packet = data[forwardHead:]
+		return m, nil
+	case KindAccepted, KindRefused, KindClaimed:
+		if len(data) != answerSize {
+			return Message{}, errMessage
+		}
+		m.Reason = Reason(data[1])
+		m.Load.Active = binary.BigEndian.Uint16(data[2:])
+		m.Load.Flows = binary.BigEndian.Uint16(data[4:])
+		m.Key, _ = segment.DecodeKey(data[6:])
+		return m, nil
+	case KindReport:
+		return m, json.Unmarshal(data[1:], &m.Report)
+	case KindDigest:
+		return m, json.Unmarshal(data[1:], &m.Digest)
+	default:
+		return Message{}, errMessage
+	}
+}
--- /dev/null
+++ b/internal/flow/roster/roster.go
@@ -0,0 +1,107 @@
+// Package roster keeps the hosts that a process has heard from or was told of. It
+// is pure: time and news in, lists out.
+package roster
+
+import (
+	"net/netip"
+	"slices"
+
+	"github.com/orioledyke/orioledyke/internal/common/clock"
+)
+
+const (
+	// liveTime is how long a host counts as live after its last message. Hosts
+	// send several messages in it, so that single losses do not matter.
+	liveTime = 3 * clock.Second
+	// hintTime is how long a host that was only heard of is tried.
+	hintTime = 10 * clock.Second
+	// MaxList limits the hosts that a digest names, so that it fits a datagram.
+	MaxList = 128
+)
+
+type host struct {
+	// heard is the time of the last message of the host itself, learned the last
+	// time that another host named it.
+	heard, learned clock.Millis
+	wasHeard       bool
+}
+
+// Roster is a set of hosts of one role.
+type Roster struct {
+	self  netip.Addr
+	hosts map[netip.Addr]*host
+}
+
+// New returns an empty roster of a process on the host self, which is never a
+// member.
+func New(self netip.Addr) *Roster {
+	return &Roster{self: self, hosts: map[netip.Addr]*host{}}
+}
+
+// Heard records a message of a host. It reports whether the host was not live.
+func (r *Roster) Heard(now clock.Millis, address netip.Addr) bool {
+	h := r.get(address)
+	if h == nil {
+		return false
+	}
+	appeared := !h.wasHeard || now-h.heard > liveTime
+	h.heard, h.wasHeard = now, true
+	return appeared
+}
+
+// Learned records that another source named hosts.
+func (r *Roster) Learned(now clock.Millis, addresses []netip.Addr) {
+	for _, address := range addresses {
+		if h := r.get(address); h != nil {
+			h.learned = now
+		}
+	}
+}
+
+func (r *Roster) get(address netip.Addr) *host {
+	if address == r.self || !address.Is4() {
+		return nil
+	}
+	h, ok := r.hosts[address]
+	if !ok {
+		h = &host{}
+		r.hosts[address] = h
+	}
+	return h
+}
+
+// Live returns the hosts that sent a message lately, in order.
+func (r *Roster) Live(now clock.Millis) []netip.Addr {
+	return r.list(func(h *host) bool { return h.live(now) })
+}
+
+// Silent returns the hosts that are worth a try but are not live, in order.
+func (r *Roster) Silent(now clock.Millis) []netip.Addr {
+	return r.list(func(h *host) bool { return !h.live(now) && !h.expired(now) })
+}
+
+// Expire forgets hosts that are neither live nor named any more.
+func (r *Roster) Expire(now clock.Millis) {
+	for address, h := range r.hosts {
+		if h.expired(now) {
+			delete(r.hosts, address)
+		}
+	}
+}
+
+func (r *Roster) list(include func(*host) bool) []netip.Addr {
+	var addresses []netip.Addr
+	for address, h := range r.hosts {
+		if include(h) {
+			addresses = append(addresses, address)
+		}
+	}
+	slices.SortFunc(addresses, netip.Addr.Compare)
+	return addresses
+}
+
+func (h *host) live(now clock.Millis) bool { return h.wasHeard && now-h.heard <= liveTime }
+
+func (h *host) expired(now clock.Millis) bool {
+	return now-h.learned > hintTime && (!h.wasHeard || now-h.heard > hintTime)
+}
--- /dev/null
+++ b/internal/flow/sidecar/sidecar.go
@@ -0,0 +1,394 @@
+// Package sidecar decides what a sidecar does with the packets of flows that carry
+// no connection ID. It sees every packet of its upstream in both directions, so it
+// is the authority on which flows the upstream holds. It is pure: packets,
+// messages and time in, datagrams out.
+package sidecar
+
+import (
+	"net/netip"
+
+	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/common/identity"
+	"github.com/orioledyke/orioledyke/internal/flow/relay"
+	"github.com/orioledyke/orioledyke/internal/flow/segment"
+)
+
+const (
+	// flowLife is how long a silent flow is remembered. Upstreams end idle flows
+	// earlier.
+	flowLife = 60 * clock.Second
+	// closedLife is how long a flow that both ends have closed is remembered, so
+	// that the upstream answers late copies.
+	closedLife = 5 * clock.Second
+	// requestLife is how long a request without a response counts as work.
+	requestLife = 5 * clock.Second
+	// offerLife is how long a flow may take to open. Clients give up earlier.
+	offerLife = 3 * clock.Second
+	// openWindow is the largest distance of a client's first acknowledgement from
+	// the upstream's first position.
+	openWindow = 76_800
+)
+
+// Outcome is what became of a packet, for counters and logs.
+type Outcome int
+
+// Outcomes.
+const (
+	OutcomeOffered Outcome = iota
+	OutcomeDelivered
+	OutcomeRefused
+	OutcomeNotHeld
+	OutcomeProbed
+	OutcomeReplied
+	OutcomeAccepted
+	OutcomeReturned
+	OutcomeLost
+	OutcomeInvalid
+	OutcomeCount
+)
+
+var outcomeNames = [OutcomeCount]string{
+	"offered", "delivered", "refused", "not-held", "probed", "replied", "accepted", "returned", "lost", "invalid",
+}
+
+// String returns the name of the outcome in metrics and logs.
+func (o Outcome) String() string { return outcomeNames[o] }
+
+// Event is a decision about one flow.
+type Event struct {
+	Outcome  Outcome
+	Key      segment.Key
+	Balancer netip.AddrPort
+	Reason   relay.Reason
+	Load     relay.Load
+}
+
+// Config configures a Sidecar. Every function is called during calls of the
+// Sidecar and must not call it back.
+type Config struct {
+	// Decode reads a packet of a client or of the upstream.
+	Decode func(packet []byte, fromUpstream bool) (segment.Segment, error)
+	// ClearReturned removes the mark of a returned packet.
+	ClearReturned func(packet []byte)
+	// ToUpstream, ToClient and ToBalancer send a datagram, which is valid during
+	// the call only.
+	ToUpstream func(packet []byte)
+	ToClient   func(to netip.Addr, packet []byte)
+	ToBalancer func(to netip.AddrPort, data []byte)
+	// Observe receives decisions about flows. Nil means nothing.
+	Observe func(Event)
+}
+
+// Sidecar is the state of the flows of one upstream. It is not safe for concurrent
+// use.
+type Sidecar struct {
+	config  Config
+	service identity.ServiceID
+	// refusal is why no new flow is offered; 0 means that flows are offered.
+	refusal relay.Reason
+	// learning tells that the upstream may hold flows that this process has not
+	// seen, because the process started after the upstream.
+	learning bool
+	flows    map[segment.Key]*flow
+	active   int
+	open     int
+	buffer   []byte
+	swept    clock.Millis
+	counts   [OutcomeCount]uint64
+}
+
+// flow is one flow of the upstream, or one that was offered to it.
+type flow struct {
+	state state
+	// asker is the balancer that sent the last packet that needs an answer.
+	asker netip.AddrPort
+	// broadcast tells that the last packet went to all sidecars of the service.
+	broadcast bool
+	// first is the position of the upstream's first byte.
+	first          uint32
+	seen           clock.Millis
+	busySince      clock.Millis
+	busy           bool
+	clientFinished bool
+	serverFinished bool
+}
+
+// finished reports whether both ends have sent all their data.
+func (f *flow) finished() bool { return f.clientFinished && f.serverFinished }
+
+// state is the progress of a flow.
+type state int
+
+const (
+	// stateOffered means that the upstream has not answered yet.
+	stateOffered state = iota
+	// stateProbed means that the upstream got a packet of a flow that this process
+	// does not know.
+	stateProbed
+	// stateAccepted means that the upstream has accepted the flow.
+	stateAccepted
+	// stateOpen means that the client has acknowledged the upstream's answer.
+	stateOpen
+)
+
+// New returns a Sidecar that refuses new flows until Serve is called.
+func New(config Config) *Sidecar {
+	if config.Observe == nil {
+		config.Observe = func(Event) {}
+	}
+	return &Sidecar{config: config, refusal: relay.ReasonUnregistered, flows: map[segment.Key]*flow{}}
+}
+
+// Serve offers flows of a service to the upstream.
+func (s *Sidecar) Serve(service identity.ServiceID) { s.service, s.refusal = service, 0 }
+
+// Refuse offers no new flows from now on. Flows that are open stay.
+func (s *Sidecar) Refuse(reason relay.Reason) { s.refusal = reason }
+
+// Accepting reports whether new flows are offered.
+func (s *Sidecar) Accepting() bool { return s.refusal == 0 }
+
+// SetLearning tells whether the upstream may hold flows that this process has not
+// seen.
+func (s *Sidecar) SetLearning(learning bool) { s.learning = learning }
+
+// Forget drops all flows, because the upstream has started anew.
+func (s *Sidecar) Forget() {
+	s.flows = map[segment.Key]*flow{}
+	s.active, s.open = 0, 0
+}
+
+// Load returns the work of the upstream.
+func (s *Sidecar) Load() relay.Load {
+	const limit = 1<<16 - 1
+	return relay.Load{Active: uint16(min(s.active, limit)), Flows: uint16(min(s.open, limit))}
+}
+
+// Count returns how often an outcome occurred.
+func (s *Sidecar) Count(o Outcome) uint64 { return s.counts[o] }
+
+// HandleForward handles a client's packet that a balancer sent.
+func (s *Sidecar) HandleForward(now clock.Millis, from netip.AddrPort, m relay.Message) {
+	p, err := s.config.Decode(m.Packet, false)
+	if err != nil || p.Returned {
+		s.count(Event{Outcome: OutcomeInvalid, Balancer: from})
+		return
+	}
+	if p.Requests() {
+		s.offer(now, from, m, p)
+		return
+	}
+	f := s.flows[p.Key]
+	if f == nil || f.state == stateOffered || (f.state == stateAccepted && !s.opens(f, p)) {
+		s.handleUnknown(now, from, m, f, p)
+		return
+	}
+	f.seen = now
+	f.asker, f.broadcast = from, m.Broadcast
+	if f.state == stateAccepted {
+		f.state = stateOpen
+	}
+	s.trackRequest(now, f, p)
+	s.counts[OutcomeDelivered]++
+	s.config.ToUpstream(m.Packet)
+	if m.Broadcast && f.state == stateOpen {
+		s.answer(from, relay.KindClaimed, 0, p.Key)
+	}
+}
+
+// opens reports whether a client's packet acknowledges this upstream's answer and
+// not that of another upstream.
+func (s *Sidecar) opens(f *flow, p segment.Segment) bool {
+	return p.Acknowledges && p.Acknowledged-f.first <= openWindow
+}
+
+// offer gives a request for a new flow to the upstream, or refuses it.
+func (s *Sidecar) offer(now clock.Millis, from netip.AddrPort, m relay.Message, p segment.Segment) {
+	f := s.flows[p.Key]
+	if f != nil && f.finished() && p.Acknowledged == 0 {
+		// The client uses the port of an earlier flow again.
+		s.remove(p.Key, f)
+		f = nil
+	}
+	if f == nil || f.state == stateOffered {
+		reason := s.refusal
+		if reason == 0 && m.Service != s.service {
+			reason = relay.ReasonService
+		}
+		if reason != 0 {
+			s.count(Event{Outcome: OutcomeRefused, Key: p.Key, Balancer: from, Reason: reason, Load: s.Load()})
+			s.answer(from, relay.KindRefused, reason, p.Key)
+			return
+		}
+	}
+	if f == nil {
+		f = &flow{}
+		s.flows[p.Key] = f
+		s.open++
+	}
+	f.asker, f.seen = from, now
+	s.count(Event{Outcome: OutcomeOffered, Key: p.Key, Balancer: from, Load: s.Load()})
+	s.config.ToUpstream(m.Packet)
+}
+
+// handleUnknown handles a packet of a flow that this process does not know as the
+// upstream's.
+func (s *Sidecar) handleUnknown(now clock.Millis, from netip.AddrPort, m relay.Message, f *flow, p segment.Segment) {
+	if s.learning && f == nil {
+		s.flows[p.Key] = &flow{state: stateProbed, asker: from, broadcast: m.Broadcast, seen: now}
+		s.open++
+		s.count(Event{Outcome: OutcomeProbed, Key: p.Key, Balancer: from})
+		s.config.ToUpstream(m.Packet)
+		return
+	}
+	s.returnPacket(from, m.Broadcast, p.Key, m.Packet)
+}
+
+// returnPacket sends a packet back to the balancer, unless all other sidecars have
+// it already.
+func (s *Sidecar) returnPacket(to netip.AddrPort, broadcast bool, key segment.Key, packet []byte) {
+	s.counts[OutcomeNotHeld]++
+	if broadcast {
+		return
+	}
+	s.config.Observe(Event{Outcome: OutcomeNotHeld, Key: key, Balancer: to})
+	s.send(to, relay.Message{Kind: relay.KindNotHeld, Packet: packet})
+}
+
+// HandleUpstream handles a packet that the upstream sent or returned.
+func (s *Sidecar) HandleUpstream(now clock.Millis, packet []byte) {
+	p, err := s.config.Decode(packet, true)
+	if err != nil {
+		s.count(Event{Outcome: OutcomeInvalid})
+		return
+	}
+	if p.Returned {
+		s.handleReturned(p, packet)
+		return
+	}
+	f := s.flows[p.Key]
+	if f == nil {
+		f = &flow{state: stateOpen}
+		s.flows[p.Key] = f
+		s.open++
+	}
+	f.seen = now
+	switch {
+	case p.Accepts():
+		s.handleAccepted(f, p)
+	case f.state == stateProbed && !p.Resets:
+		f.state = stateOpen
+		s.answer(f.asker, relay.KindClaimed, 0, p.Key)
+	}
+	s.trackResponse(f, p)
+	s.counts[OutcomeReplied]++
+	s.config.ToClient(p.Key.Client().Addr(), packet)
+	if p.Resets {
+		s.remove(p.Key, f)
+	}
+}
+
+func (s *Sidecar) handleAccepted(f *flow, p segment.Segment) {
+	if f.state == stateOffered {
+		f.state = stateAccepted
+		f.first = p.Sequence
+		s.count(Event{Outcome: OutcomeAccepted, Key: p.Key, Balancer: f.asker, Load: s.Load()})
+	}
+	if f.asker.IsValid() {
+		s.answer(f.asker, relay.KindAccepted, 0, p.Key)
+	}
+}
+
+// handleReturned handles a packet that the upstream has not accepted.
+func (s *Sidecar) handleReturned(p segment.Segment, packet []byte) {
+	f := s.flows[p.Key]
+	if f == nil {
+		s.counts[OutcomeReturned]++
+		return
+	}
+	if p.Requests() {
+		if f.state != stateOffered {
+			return
+		}
+		s.remove(p.Key, f)
+		s.count(Event{Outcome: OutcomeReturned, Key: p.Key, Balancer: f.asker, Load: s.Load()})
+		s.answer(f.asker, relay.KindRefused, relay.ReasonReturned, p.Key)
+		return
+	}
+	s.remove(p.Key, f)
+	if f.state == stateOpen {
+		s.count(Event{Outcome: OutcomeLost, Key: p.Key, Balancer: f.asker})
+	}
+	if f.asker.IsValid() {
+		s.config.ClearReturned(packet)
+		s.returnPacket(f.asker, f.broadcast, p.Key, packet)
+	}
+}
+
+// trackRequest counts a client's data as work until the upstream sends data.
+func (s *Sidecar) trackRequest(now clock.Millis, f *flow, p segment.Segment) {
+	f.clientFinished = f.clientFinished || p.Ends
+	if p.Length > 0 && !f.busy && !f.serverFinished {
+		f.busy = true
+		s.active++
+	}
+	if p.Length > 0 {
+		f.busySince = now
+	}
+}
+
+func (s *Sidecar) trackResponse(f *flow, p segment.Segment) {
+	f.serverFinished = f.serverFinished || p.Ends
+	if (p.Length > 0 || p.Ends) && f.busy {
+		f.busy = false
+		s.active--
+	}
+}
+
+func (s *Sidecar) remove(key segment.Key, f *flow) {
+	if s.flows[key] != f {
+		return
+	}
+	delete(s.flows, key)
+	s.open--
+	if f.busy {
+		s.active--
+	}
+}
+
+// Tick forgets flows that have ended.
+func (s *Sidecar) Tick(now clock.Millis) {
+	if now-s.swept < clock.Second {
+		return
+	}
+	s.swept = now
+	for key, f := range s.flows {
+		idle := now - f.seen
+		if f.busy && now-f.busySince > requestLife {
+			f.busy = false
+			s.active--
+		}
+		if idle > flowLife || (idle > closedLife && f.finished()) || (idle > offerLife && f.state != stateOpen) {
+			s.remove(key, f)
+		}
+	}
+}
+
+func (s *Sidecar) answer(to netip.AddrPort, kind relay.Kind, reason relay.Reason, key segment.Key) {
+	s.send(to, relay.Message{Kind: kind, Reason: reason, Key: key, Load: s.Load()})
+}
+
+func (s *Sidecar) send(to netip.AddrPort, m relay.Message) {
+	data, err := m.Append(s.buffer[:0])
+	if err != nil {
+		s.count(Event{Outcome: OutcomeInvalid, Balancer: to})
+		return
+	}
+	s.buffer = data
+	s.config.ToBalancer(to, data)
+}
+
+func (s *Sidecar) count(e Event) {
+	s.counts[e.Outcome]++
+	s.config.Observe(e)
+}
