flow: Find sidecars at once, let requests wait for them, end lost flows

Cause: after a fault that ends all processes, balancers knew no sidecar for up to 1.2 s after both ran and refused every request; clients with a request on a flow that died with its upstream waited for their deadline. Change: processes list their hosts in the store and contact new hosts at once; a request waits for the first sidecar while a balancer starts; a flow that no sidecar holds is reset once all have answered.

--- a/internal/flow/balancer/balancer.go
+++ b/internal/flow/balancer/balancer.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/netip"
+	"slices"
 
 	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/internal/common/identity"
@@ -26,6 +27,13 @@
 	// defaultIdle is how long an idle flow is remembered when the configuration
 	// has no limit.
 	defaultIdle = 30 * clock.Second
+	// waitTime is how long a new flow waits for a sidecar of its service to report,
+	// and startWaitTime how long while the balancer does not know all of them: the
+	// time in which the client repeats its request.
+	waitTime      clock.Millis = 250
+	startWaitTime clock.Millis = 1300
+	// waitPoll is the time between two looks at a waiting request.
+	waitPoll clock.Millis = 50
 	// maxFlows bounds the memory: about 200 bytes for each flow.
 	maxFlows = 100_000
 	// broadcastRate is how many packets of unknown flows a balancer may send to
@@ -52,12 +60,14 @@
 	OutcomeNotHeld
 	OutcomeClaimed
 	OutcomeAccepted
+	OutcomeWaiting
+	OutcomeLost
 	OutcomeCount
 )
 
 var outcomeNames = [OutcomeCount]string{
 	"placed", "moved-on", "timed-out", "forwarded", "broadcast", "reset", "no-route", "no-sidecar",
-	"invalid", "limited", "not-held", "claimed", "accepted",
+	"invalid", "limited", "not-held", "claimed", "accepted", "waiting", "lost",
 }
 
 // String returns the name of the outcome in metrics and logs.
@@ -91,6 +101,9 @@
 	ToClient  func(to netip.Addr, data []byte)
 	// Random returns a number from 0 to n-1.
 	Random func(n int) int
+	// Complete reports whether every sidecar that may hold flows has reported. Until
+	// then a flow that nobody claims may still exist.
+	Complete func() bool
 	// Observe receives every decision. Nil means nothing.
 	Observe func(Event)
 }
@@ -102,6 +115,8 @@
 	sidecars map[netip.AddrPort]*sidecar
 	services map[identity.ServiceID][]*sidecar
 	flows    map[segment.Key]*flow
+	// waiting are the requests for which no sidecar was there.
+	waiting []*opening
 	// openings are the requests that wait for an answer, in order of their deadlines.
 	openings []attempt
 	buffer   []byte
@@ -119,6 +134,13 @@
 	seen     clock.Millis
 	accepted bool
 	opening  *opening
+	// absent are the sidecars whose upstreams do not hold the flow, as of the last
+	// packet that was sent to all.
+	absent []netip.AddrPort
+	// acknowledged is the client's position in that packet, which holds data if
+	// waiting is set.
+	acknowledged uint32
+	waiting      bool
 }
 
 // New returns a Balancer without table and sidecars.
@@ -126,6 +148,9 @@
 	if config.Observe == nil {
 		config.Observe = func(Event) {}
 	}
+	if config.Complete == nil {
+		config.Complete = func() bool { return true }
+	}
 	return &Balancer{
 		config:   config,
 		sidecars: map[netip.AddrPort]*sidecar{},
@@ -171,7 +196,7 @@
 		b.counts[OutcomeForwarded]++
 		return
 	}
-	b.search(now, s.Key, netip.AddrPort{}, packet)
+	b.search(now, s, netip.AddrPort{}, packet)
 }
 
 // HandleSidecar handles a message of a sidecar.
@@ -188,8 +213,10 @@
 	case relay.KindClaimed:
 		b.applyLoad(now, from, m.Load)
 		f := b.remember(now, m.Key)
-		f.owner, f.accepted = from, true
+		f.owner, f.accepted, f.absent = from, true, nil
 		b.count(Event{Outcome: OutcomeClaimed, Key: m.Key, Sidecar: from})
+	case relay.KindAbsent:
+		b.handleAbsent(from, m.Key)
 	case relay.KindNotHeld:
 		b.handleNotHeld(now, from, m.Packet)
 	}
@@ -210,12 +237,13 @@
 		}
 		f.owner = netip.AddrPort{}
 	}
-	b.search(now, s.Key, from, packet)
+	b.search(now, s, from, packet)
 }
 
-// search sends a packet to every sidecar that may hold its flow, except one. The
-// one that does claims the flow.
-func (b *Balancer) search(now clock.Millis, key segment.Key, except netip.AddrPort, packet []byte) {
+// search sends a packet to every sidecar that may hold its flow, except the one that
+// has returned it. The one that does claims the flow.
+func (b *Balancer) search(now clock.Millis, s segment.Segment, except netip.AddrPort, packet []byte) {
+	key := s.Key
 	r, ok := b.table.Lookup(key.Service())
 	if !ok {
 		b.count(Event{Outcome: OutcomeNoRoute, Key: key, Version: b.table.Version()})
@@ -229,6 +257,11 @@
 		return
 	}
 	b.broadcasts++
+	f := b.remember(now, key)
+	f.acknowledged, f.waiting, f.absent = s.Acknowledged, s.Length > 0, nil
+	if except.IsValid() {
+		f.absent = append(f.absent, except)
+	}
 	for _, target := range r.Targets {
 		for _, c := range b.services[target.Service] {
 			if c.address != except {
@@ -239,6 +272,31 @@
 	b.count(Event{Outcome: OutcomeBroadcast, Key: key, Version: b.table.Version()})
 }
 
+// handleAbsent resets a flow that no upstream holds, so that a client with a request
+// in progress need not wait for its deadline. A flow whose owner does not answer
+// is left alone.
+func (b *Balancer) handleAbsent(from netip.AddrPort, key segment.Key) {
+	f := b.flows[key]
+	if f == nil || f.owner.IsValid() || !f.waiting || slices.Contains(f.absent, from) {
+		return
+	}
+	f.absent = append(f.absent, from)
+	r, ok := b.table.Lookup(key.Service())
+	if !ok || !b.config.Complete() {
+		return
+	}
+	for _, target := range r.Targets {
+		for _, c := range b.services[target.Service] {
+			if !slices.Contains(f.absent, c.address) {
+				return
+			}
+		}
+	}
+	delete(b.flows, key)
+	b.count(Event{Outcome: OutcomeLost, Key: key, Sidecar: from, Version: b.table.Version(), Attempt: len(f.absent)})
+	b.config.ToClient(key.Client().Addr(), b.config.Reset(key, f.acknowledged))
+}
+
 func (b *Balancer) serviceOf(key segment.Key) identity.ServiceID {
 	if r, ok := b.table.Lookup(key.Service()); ok {
 		return r.Service(key)
--- a/internal/flow/balancer/opening.go
+++ b/internal/flow/balancer/opening.go
@@ -25,6 +25,8 @@
 	unanswered int
 	// deadline is the time until which the sidecar asked last may answer.
 	deadline clock.Millis
+	// waiting tells that no sidecar was there to be asked.
+	waiting bool
 }
 
 // attempt is a request to one sidecar. It is obsolete when its opening has another
@@ -68,6 +70,7 @@
 				outcome = OutcomeMovedOn
 			}
 			o.tried = append(o.tried, c.address)
+			o.waiting = false
 			o.unanswered++
 			o.deadline = now + answerTimeout
 			b.openings = append(b.openings, attempt{opening: o, deadline: o.deadline})
@@ -84,12 +87,49 @@
 	if o.unanswered > 0 {
 		return
 	}
+	if len(o.tried) == 0 && now-o.began < b.patience() {
+		b.wait(now, o)
+		return
+	}
 	delete(b.flows, o.key)
 	b.refuse(o.key, o.copies, Event{
 		Outcome: OutcomeNoSidecar, Key: o.key, Reason: reason, Version: b.table.Version(), Attempt: len(o.tried),
 	})
 }
 
+// patience is how long a request waits for a sidecar that can be asked.
+func (b *Balancer) patience() clock.Millis {
+	if b.config.Complete() {
+		return waitTime
+	}
+	return startWaitTime
+}
+
+// wait keeps a request until a sidecar reports or until its patience ends.
+func (b *Balancer) wait(now clock.Millis, o *opening) {
+	if !o.waiting {
+		b.count(Event{Outcome: OutcomeWaiting, Key: o.key, Version: b.table.Version()})
+		b.waiting = append(b.waiting, o)
+	}
+	o.waiting = true
+	o.deadline = now + waitPoll
+	b.openings = append(b.openings, attempt{opening: o, deadline: o.deadline})
+}
+
+// resume asks a sidecar for the requests that have waited for one.
+func (b *Balancer) resume(now clock.Millis) {
+	waiting := b.waiting
+	b.waiting = nil
+	for _, o := range waiting {
+		f := b.flows[o.key]
+		if f == nil || f.opening != o || !o.waiting {
+			continue
+		}
+		o.waiting = false
+		b.ask(now, f, o, 0)
+	}
+}
+
 // refuse answers a request for a flow that was given to no upstream. Only the
 // first copy is refused: a later one may follow a copy that another balancer
 // placed.
@@ -146,6 +186,10 @@
 			f.opening = nil
 			continue
 		}
+		if o.waiting {
+			b.ask(now, f, o, 0)
+			continue
+		}
 		last := o.tried[len(o.tried)-1]
 		if c := b.sidecars[last]; c != nil {
 			c.late(now)
--- a/internal/flow/balancer/sidecar.go
+++ b/internal/flow/balancer/sidecar.go
@@ -22,6 +22,11 @@
 	// remoteCost is added to the load per slot of a sidecar in another data
 	// centre, because bytes between data centres are priced.
 	remoteCost = 0.1
+	// fullFactor is how many requests for each slot an upstream may have before new
+	// flows go elsewhere, and fullWait how long a new flow waits for one with fewer.
+	// After that the upstream itself decides, while the latency goal can be met.
+	fullFactor              = 4
+	fullWait   clock.Millis = 100
 	// latePenalty is how long a sidecar that did not answer is chosen last.
 	latePenalty = clock.Second
 )
@@ -48,6 +53,11 @@
 	return c.report.Accepting && now-c.heard <= reportLife
 }
 
+// full reports whether new flows would wait long for a slot.
+func (c *sidecar) full() bool {
+	return int(c.report.Load.Active)+c.placed >= fullFactor*max(c.report.Slots, 1)
+}
+
 // cost estimates the wait for a slot: the load of each slot, and more for a host
 // that is far away or does not answer.
 func (c *sidecar) cost(now clock.Millis, dataCentre string) float64 {
@@ -80,6 +90,24 @@
 		c.isLate = false
 	}
 	c.report, c.heard, c.placed = r, now, 0
+	if r.Departed {
+		b.removeFromService(c)
+		delete(b.sidecars, from)
+		return
+	}
+	if r.Accepting {
+		b.resume(now)
+	}
+}
+
+// Sidecars returns the hosts of the sidecars whose upstreams may hold flows.
+func (b *Balancer) Sidecars() []netip.Addr {
+	hosts := make([]netip.Addr, 0, len(b.sidecars))
+	for address := range b.sidecars {
+		hosts = append(hosts, address.Addr())
+	}
+	slices.SortFunc(hosts, netip.Addr.Compare)
+	return hosts
 }
 
 func (b *Balancer) applyLoad(now clock.Millis, from netip.AddrPort, load relay.Load) {
@@ -130,6 +158,9 @@
 func (b *Balancer) pick(now clock.Millis, o *opening) *sidecar {
 	var candidates []*sidecar
 	for _, c := range b.services[o.service] {
+		if c.full() && now-o.began < fullWait {
+			continue
+		}
 		if c.usable(now) && !slices.Contains(o.tried, c.address) {
 			candidates = append(candidates, c)
 		}
--- a/internal/flow/node/balancer.go
+++ b/internal/flow/node/balancer.go
@@ -23,9 +23,11 @@
 const (
 	// digestInterval is the time between two digests.
 	digestInterval clock.Millis = 500
-	// settleTime is how long a balancer without sidecars waits for their reports
-	// before it counts as ready.
-	settleTime = 2 * clock.Second
+	// settleTime is how long a balancer waits for reports after its start before it
+	// relies on having heard all sidecars. With the directory, which names them, the
+	// answers of peers are all that it waits for.
+	settleTime                   = clock.Second
+	settleDirectory clock.Millis = 300
 	// quietTime without a packet shows that the routers have stopped sending here.
 	quietTime clock.Millis = 1200
 	drainPoll clock.Millis = 100
@@ -43,10 +45,10 @@
 // balancerNode is a running balancer.
 type balancerNode struct {
 	*base
-	machine  *balancer.Balancer
-	sidecars *roster.Roster
-	peers    *http.Client
-	started  clock.Millis
+	machine   *balancer.Balancer
+	sidecars  *roster.Roster
+	directory *directory
+	peers     *http.Client
 	// armed tells that a timer waits for the next late answer.
 	armed bool
 	// packet is the time of the last packet of a client.
@@ -67,7 +69,7 @@
 	}
 	defer b.close()
 	n := &balancerNode{
-		base: b, sidecars: roster.New(s.RelayAddress.Addr()), started: b.clock.Now(),
+		base: b, sidecars: roster.New(s.RelayAddress.Addr()),
 		peers: &http.Client{Timeout: peerTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	n.machine = balancer.New(balancer.Config{
@@ -77,8 +79,10 @@
 		ToSidecar:  func(to netip.AddrPort, data []byte) { b.send(b.relay, to, data) },
 		ToClient:   b.toClient,
 		Random:     random,
+		Complete:   n.complete,
 		Observe:    n.observe,
 	})
+	n.directory = b.newDirectory(platform.Balancers, n.learn)
 	n.registerMetrics()
 	if err := n.start(); err != nil {
 		return err
@@ -90,7 +94,7 @@
 	n.addReader("packets", n.packets, platform.MaxSegment+1, n.handlePacket)
 	n.addReader("relay", n.relay, relay.MaxMessage, n.handleRelay)
 	n.addTimer("digest", digestInterval, n.sendDigests)
-	n.tree.Add("first-digest", func(ctx context.Context) error { n.sendDigests(ctx); return nil })
+	n.addStartTimer(n.sendDigests)
 	n.tree.Add("configuration", configuration.New(configuration.Config{
 		Read: n.store.Configuration, Watch: n.store.WatchConfiguration,
 		Apply:    func(content []byte) error { return n.applyConfiguration("store", content) },
@@ -98,7 +102,7 @@
 		Rejected: func(err error) { n.logger.Warn("configuration-rejected", zap.Error(err)) },
 		Sleep:    sleep, Random: random,
 	}).Serve)
-	n.tree.Add("directory", n.newDirectory().serve)
+	n.tree.Add("directory", n.directory.serve)
 	if err := n.addSettings(n.applySettings); err != nil {
 		return err
 	}
@@ -163,51 +167,74 @@
 		n.logger.Info("sidecar-appeared", zap.Stringer("sidecar", from))
 	}
 	n.machine.HandleSidecar(now, from, m)
+	if m.Kind == relay.KindReport && m.Report.Departed {
+		n.sidecars.Remove(from.Addr())
+	}
 	n.arm(now)
 }
 
 func (n *balancerNode) handleDigest(now clock.Millis, from netip.Addr, d relay.Digest) {
 	if n.balancers.Heard(now, from) {
 		n.logger.Info("balancer-appeared", zap.Stringer("balancer", from))
+		n.digestTo(now, []netip.Addr{from})
 	}
-	n.balancers.Learned(now, d.Balancers)
-	n.sidecars.Learned(now, d.Sidecars)
+	n.learn(now, platform.Hosts{platform.Balancers: d.Balancers, platform.Sidecars: d.Sidecars})
 	if d.Version > n.newer {
 		n.newer, n.newerAt, n.newerSince = d.Version, from, now
 	}
 }
 
-// sendDigests tells others what this balancer knows, and asks a peer for a
-// configuration that the store has not delivered.
-func (n *balancerNode) sendDigests(ctx context.Context) {
-	n.mutex.Lock()
-	now := n.clock.Now()
-	n.machine.Tick(now)
-	n.balancers.Learned(now, n.seedHosts())
-	balancers, sidecars := n.balancers.Live(now), n.sidecars.Live(now)
+// learn contacts hosts that are new here.
+func (n *balancerNode) learn(now clock.Millis, hosts platform.Hosts) {
+	added := n.balancers.Learned(now, hosts[platform.Balancers])
+	n.digestTo(now, append(added, n.sidecars.Learned(now, hosts[platform.Sidecars])...))
+}
+
+// digestTo sends hosts what this balancer knows.
+func (n *balancerNode) digestTo(now clock.Millis, hosts []netip.Addr) {
+	if n.stopping || len(hosts) == 0 {
+		return
+	}
+	balancers, sidecars := n.balancers.Live(now), n.machine.Sidecars()
 	m := relay.Message{Kind: relay.KindDigest, Digest: relay.Digest{
 		Version:   n.machine.Table().Version(),
 		Balancers: balancers[:min(len(balancers), roster.MaxList)],
 		Sidecars:  sidecars[:min(len(sidecars), roster.MaxList)],
 	}}
-	targets := append(balancers, n.balancers.Silent(now)...)
-	targets = append(append(targets, sidecars...), n.sidecars.Silent(now)...)
-	n.balancers.Expire(now)
-	n.sidecars.Expire(now)
-	stopping := n.stopping
-	behind, peer := n.newer > n.machine.Table().Version() && now-n.newerSince >= peerDelay, n.newerAt
-	n.mutex.Unlock()
-	if stopping {
-		return
-	}
 	data, err := m.Append(nil)
 	if err != nil {
 		n.logger.Error("digest-failed", zap.Error(err))
 		return
 	}
-	for _, target := range targets {
-		n.relayTo(target, data)
+	for _, host := range hosts {
+		n.relayTo(host, data)
+	}
+}
+
+// complete reports whether every sidecar that may hold flows has reported.
+func (n *balancerNode) complete() bool {
+	now := n.clock.Now()
+	settle := settleTime
+	if n.directory.read.Load() {
+		settle = settleDirectory
 	}
+	return now-n.started >= settle && len(n.sidecars.Unheard(now)) == 0
+}
+
+// sendDigests tells others what this balancer knows, and asks a peer for a
+// configuration that the store has not delivered.
+func (n *balancerNode) sendDigests(ctx context.Context) {
+	n.mutex.Lock()
+	now := n.clock.Now()
+	n.machine.Tick(now)
+	n.balancers.Learned(now, n.seedHosts())
+	targets := append(n.balancers.Live(now), n.balancers.Silent(now)...)
+	targets = append(append(targets, n.sidecars.Live(now)...), n.sidecars.Silent(now)...)
+	n.balancers.Expire(now)
+	n.sidecars.Expire(now)
+	n.digestTo(now, targets)
+	behind, peer := n.newer > n.machine.Table().Version() && now-n.newerSince >= peerDelay, n.newerAt
+	n.mutex.Unlock()
 	if behind {
 		n.fetch(ctx, peer)
 	}
@@ -267,6 +294,10 @@
 	table := route.NewTable(config)
 	n.mutex.Lock()
 	applied := n.machine.SetTable(table)
+	if applied {
+		now := n.clock.Now()
+		n.digestTo(now, n.balancers.Live(now))
+	}
 	n.mutex.Unlock()
 	if applied {
 		n.logger.Info("configuration-applied", zap.Uint64("version", table.Version()),
@@ -305,6 +336,7 @@
 		quiet := now - max(n.packet, began)
 		n.mutex.Unlock()
 		if quiet >= quietTime || now-began >= n.drainLimit() {
+			n.directory.leave()
 			return
 		}
 	}
--- a/internal/flow/node/directory.go
+++ b/internal/flow/node/directory.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/netip"
 	"slices"
+	"sync/atomic"
 
 	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/platform"
@@ -20,24 +21,36 @@
 	directoryInterval = 10 * clock.Second
 	renewInterval     = 20 * clock.Second
 	// directoryRetry is the time between failed calls.
-	directoryRetry = clock.Second
+	directoryRetry clock.Millis = 500
+	// leaveTimeout limits the removal of the own entry at the end.
+	leaveTimeout clock.Millis = 200
 )
 
-// directory keeps the own host in the store's list of balancers, by which processes
+// directory keeps the own host in the store's list of hosts, by which processes
 // find each other when no seed answers.
 type directory struct {
-	node    *balancerNode
-	lease   uint64
+	base *base
+	list platform.HostList
+	// learn receives the list.
+	learn   func(now clock.Millis, hosts platform.Hosts)
+	self    netip.Addr
+	// read tells that the list has been read.
+	read    atomic.Bool
+	lease   atomic.Uint64
 	renewed clock.Millis
 }
 
-func (n *balancerNode) newDirectory() *directory { return &directory{node: n} }
+// newDirectory returns the directory entry of a process in a list.
+func (b *base) newDirectory(list platform.HostList, learn func(clock.Millis, platform.Hosts)) *directory {
+	return &directory{base: b, list: list, learn: learn, self: b.settings.RelayAddress.Addr()}
+}
 
+// serve reads the list and keeps the entry until ctx ends.
 func (d *directory) serve(ctx context.Context) error {
 	for {
 		wait := directoryInterval
 		if err := d.step(ctx); err != nil && ctx.Err() == nil {
-			d.node.logger.Warn("directory-failed", zap.Error(err))
+			d.base.logger.Warn("directory-failed", zap.Error(err))
 			wait = directoryRetry
 		}
 		if sleep(ctx, wait+clock.Millis(random(int(wait)/4))) != nil {
@@ -48,41 +61,54 @@
 
 // step reads the list, and adds or renews the own entry.
 func (d *directory) step(ctx context.Context) error {
-	n := d.node
-	hosts, err := n.store.ListBalancers(ctx)
+	hosts, err := d.base.store.ListHosts(ctx)
 	if err != nil {
 		return err
 	}
-	n.mutex.Lock()
-	n.balancers.Learned(n.clock.Now(), hosts)
-	n.mutex.Unlock()
-	now := n.clock.Now()
-	self := n.settings.RelayAddress.Addr()
-	if d.lease != 0 && !slices.Contains(hosts, self) && now-d.renewed > directoryInterval/2 {
-		d.lease = 0
-	}
-	if d.lease != 0 && now-d.renewed >= renewInterval {
-		if err := n.store.Renew(ctx, d.lease); errors.Is(err, platform.ErrNotFound) {
-			d.lease = 0
-		} else if err != nil {
-			return err
-		}
-		d.renewed = now
+	d.base.mutex.Lock()
+	now := d.base.clock.Now()
+	d.learn(now, hosts)
+	d.base.mutex.Unlock()
+	d.read.Store(true)
+	lease := d.lease.Load()
+	if lease == 0 || (!slices.Contains(hosts[d.list], d.self) && now-d.renewed > directoryInterval/2) {
+		// Without the entry in the list, the store has ended the lease without a word.
+		return d.add(ctx)
 	}
-	if d.lease != 0 {
+	if now-d.renewed < renewInterval {
 		return nil
 	}
-	return d.add(ctx, self)
+	if err := d.base.store.Renew(ctx, lease); errors.Is(err, platform.ErrNotFound) {
+		return d.add(ctx)
+	} else if err != nil {
+		return err
+	}
+	d.renewed = now
+	return nil
 }
 
-func (d *directory) add(ctx context.Context, self netip.Addr) error {
-	lease, err := d.node.store.Grant(ctx, listingTTL)
+func (d *directory) add(ctx context.Context) error {
+	lease, err := d.base.store.Grant(ctx, listingTTL)
 	if err != nil {
 		return err
 	}
-	if err := d.node.store.AddBalancer(ctx, self, lease); err != nil {
+	if err := d.base.store.AddHost(ctx, d.list, d.self, lease); err != nil {
 		return err
 	}
-	d.lease, d.renewed = lease, d.node.clock.Now()
+	d.lease.Store(lease)
+	d.renewed = d.base.clock.Now()
 	return nil
 }
+
+// leave removes the own entry. If that fails, its lease ends it.
+func (d *directory) leave() {
+	lease := d.lease.Load()
+	if lease == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout.Duration())
+	defer cancel()
+	if err := d.base.store.Revoke(ctx, lease); err != nil {
+		d.base.logger.Warn("directory-failed", zap.Error(err))
+	}
+}
--- a/internal/flow/node/node.go
+++ b/internal/flow/node/node.go
@@ -30,6 +30,10 @@
 	// reloadInterval is the time between two looks at the settings file, for
 	// changes that no signal announces.
 	reloadInterval = 2 * time.Second
+	// startInterval is the time between two attempts to reach others after the start,
+	// and startContacts their number. Others may start up to some seconds later.
+	startInterval clock.Millis = 100
+	startContacts              = 25
 	// flushTimeout is how long the log and spans may take to be written at the end.
 	flushTimeout = time.Second
 	// socketBuffer is the kernel buffer of a packet socket: 1,700 full packets.
@@ -60,6 +64,8 @@
 	relay     *net.UDPConn
 	packets   *net.UDPConn
 
+	started clock.Millis
+
 	// mutex guards the state machines.
 	mutex     sync.Mutex
 	balancers *roster.Roster
@@ -78,6 +84,7 @@
 		options: options, settings: s, clock: clock.System(), telemetry: observed, logger: observed.Logger(),
 		store: platform.NewStore(s.StoreAddress), balancers: roster.New(s.RelayAddress.Addr()),
 	}
+	b.started = b.clock.Now()
 	b.tree = supervisor.New(string(s.Role), b.logger)
 	b.tree.Add("observe", observed.Serve)
 	if b.relay, err = listenUDP("relay-address", s.RelayAddress); err == nil {
@@ -183,6 +190,19 @@
 	})
 }
 
+// addStartTimer adds a part that calls work often until others know the process.
+func (b *base) addStartTimer(work func(context.Context)) {
+	b.tree.Add("start", func(ctx context.Context) error {
+		for range startContacts {
+			work(ctx)
+			if sleep(ctx, startInterval) != nil {
+				return nil
+			}
+		}
+		return nil
+	})
+}
+
 // addSettings adds a part that applies changed settings.
 func (b *base) addSettings(apply func(data []byte) error) error {
 	watcher, err := reload.New(reload.Config{
--- a/internal/flow/node/sidecar.go
+++ b/internal/flow/node/sidecar.go
@@ -21,9 +21,6 @@
 	// contactInterval is the time between two reports to hosts that may run a
 	// balancer but are not known to.
 	contactInterval = clock.Second
-	// searchDelay is how long a sidecar hears no balancer before it reads the
-	// store's list of them.
-	searchDelay = 2 * clock.Second
 	// freshSequence is the highest number of a first heartbeat that shows that the
 	// upstream has started with this process, so that it holds no unknown flow.
 	freshSequence = 2
@@ -39,13 +36,16 @@
 	machine      *sidecar.Sidecar
 	registration *registration.Registration
 	outbound     *net.UDPConn
+	directory    *directory
 	incarnation  identity.OwnerID
-	started      clock.Millis
 	contacted    clock.Millis
-	searched     clock.Millis
+	// learnUntil is when every flow that the upstream could hold unseen has ended.
+	learnUntil clock.Millis
 	// born is the start of the upstream whose flows the machine holds.
 	born int64
 	id   string
+	// departed tells that the upstream has ended for good.
+	departed bool
 }
 
 // RunSidecar runs a sidecar until options.Stop ends, and drains it then. It returns
@@ -57,7 +57,7 @@
 	}
 	defer b.close()
 	n := &sidecarNode{
-		base: b, own: s, incarnation: identity.NewOwnerID(), started: b.clock.Now(),
+		base: b, own: s, incarnation: identity.NewOwnerID(),
 		registration: registration.New(registration.Config{Address: s.UpstreamAddress, Service: s.Service}),
 	}
 	if n.outbound, err = listenUDP("outbound-address", s.OutboundAddress); err != nil {
@@ -72,6 +72,7 @@
 		Observe:    n.observe,
 	})
 	n.machine.SetLearning(true)
+	n.directory = b.newDirectory(platform.Sidecars, n.learn)
 	n.registerMetrics()
 	if err := n.start(); err != nil {
 		return err
@@ -83,6 +84,8 @@
 	n.addReader("relay", n.relay, relay.MaxMessage, n.handleRelay)
 	n.addReader("outbound", n.outbound, platform.MaxSegment+1, n.handleOutbound)
 	n.addTimer("report", reportInterval, n.sendReports)
+	n.addStartTimer(n.sendReports)
+	n.tree.Add("directory", n.directory.serve)
 	if err := n.addSettings(n.applySettings); err != nil {
 		return err
 	}
@@ -125,11 +128,11 @@
 		n.machine.HandleForward(now, from, m)
 	case relay.KindDigest:
 		appeared := n.balancers.Heard(now, from.Addr())
-		n.balancers.Learned(now, m.Digest.Balancers)
 		if appeared {
 			n.logger.Info("balancer-appeared", zap.Stringer("balancer", from))
 			n.reportTo([]netip.Addr{from.Addr()})
 		}
+		n.learn(now, platform.Hosts{platform.Balancers: m.Digest.Balancers})
 	}
 }
 
@@ -161,12 +164,16 @@
 // replaceUpstream starts with the flows of another incarnation.
 func (n *sidecarNode) replaceUpstream(h registration.Heartbeat) {
 	first := n.id == ""
+	if first {
+		n.learnUntil = n.clock.Now() + clock.FromDuration(n.settings.FlowLifetime)
+	}
 	n.logger.Info("upstream-registered", zap.String("upstream", h.ID), zap.Int64("born", h.Born),
 		zap.Uint64("sequence", h.Sequence), zap.String("service", h.Service))
 	if !first {
 		n.machine.Forget()
+		n.learnUntil = n.clock.Now() + clock.FromDuration(n.settings.FlowLifetime)
 	}
-	if !first || h.Sequence <= freshSequence {
+	if first && h.Sequence <= freshSequence {
 		n.machine.SetLearning(false)
 	}
 	n.id, n.born = h.ID, h.Born
@@ -200,42 +207,28 @@
 	n.applyRegistration(n.clock.Now())
 }
 
+// learn reports to balancers that are new here.
+func (n *sidecarNode) learn(now clock.Millis, hosts platform.Hosts) {
+	n.reportTo(n.balancers.Learned(now, hosts[platform.Balancers]))
+}
+
 // sendReports tells balancers the state of the upstream.
-func (n *sidecarNode) sendReports(ctx context.Context) {
+func (n *sidecarNode) sendReports(context.Context) {
 	n.mutex.Lock()
+	defer n.mutex.Unlock()
 	now := n.clock.Now()
 	n.machine.Tick(now)
-	if now-n.started > clock.FromDuration(n.settings.FlowLifetime) {
+	if n.id != "" && now > n.learnUntil {
 		n.machine.SetLearning(false)
 	}
 	targets := n.balancers.Live(now)
-	search := len(targets) == 0 && now-n.started > searchDelay && now-n.searched > searchDelay
-	if now-n.contacted >= contactInterval || n.contacted == 0 {
+	if now-n.contacted >= contactInterval || now-n.started < startContacts*startInterval {
 		n.contacted = now
 		n.balancers.Learned(now, n.seedHosts())
 		n.balancers.Expire(now)
 		targets = append(targets, n.balancers.Silent(now)...)
 	}
-	if search {
-		n.searched = now
-	}
 	n.reportTo(targets)
-	n.mutex.Unlock()
-	if search {
-		n.findBalancers(ctx)
-	}
-}
-
-// findBalancers reads the store's list of balancers.
-func (n *sidecarNode) findBalancers(ctx context.Context) {
-	hosts, err := n.store.ListBalancers(ctx)
-	if err != nil {
-		n.logger.Warn("directory-failed", zap.Error(err))
-		return
-	}
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	n.balancers.Learned(n.clock.Now(), hosts)
 }
 
 // reportTo sends a report to hosts of balancers.
@@ -243,7 +236,7 @@
 	current, _ := n.registration.Current()
 	m := relay.Message{Kind: relay.KindReport, Report: relay.Report{
 		Incarnation: n.incarnation, Service: platform.ServiceID(n.own.Service), DataCentre: n.settings.DataCentre,
-		Accepting: n.machine.Accepting(), Slots: current.Slots,
+		Accepting: n.machine.Accepting(), Departed: n.departed, Slots: current.Slots,
 		Warmup: n.registration.Warmup(n.clock.Now()), Load: n.machine.Load(),
 	}}
 	data, err := m.Append(nil)
@@ -278,7 +271,23 @@
 		}
 		n.mutex.Unlock()
 		if now-idleSince >= finishTime || now-began >= n.drainLimit() {
+			n.depart(now)
 			return
 		}
 	}
 }
+
+// depart tells balancers that the upstream holds no flow any more, if it has ended
+// before its sidecar.
+func (n *sidecarNode) depart(now clock.Millis) {
+	n.mutex.Lock()
+	n.departed = n.registration.Left()
+	if n.departed {
+		n.reportTo(n.balancers.Live(now))
+	}
+	departed := n.departed
+	n.mutex.Unlock()
+	if departed {
+		n.directory.leave()
+	}
+}
--- a/internal/flow/relay/message.go
+++ b/internal/flow/relay/message.go
@@ -29,6 +29,9 @@
 	KindClaimed
 	// KindNotHeld returns a packet of a flow that the upstream does not hold.
 	KindNotHeld
+	// KindAbsent tells that the upstream does not hold the flow of a packet that all
+	// sidecars of the service got.
+	KindAbsent
 	// KindReport carries the state of a sidecar to a balancer.
 	KindReport
 	// KindDigest carries what a balancer knows to other processes.
@@ -81,6 +84,8 @@
 	DataCentre  string             `json:"data-centre"`
 	// Accepting tells that the upstream takes new flows.
 	Accepting bool `json:"accepting"`
+	// Departed tells that the upstream has ended for good and holds no flow.
+	Departed bool `json:"departed,omitempty"`
 	// Slots is the number of requests that the upstream works on at a time.
 	Slots int `json:"slots"`
 	// Warmup is how much longer the upstream is slow after its start.
@@ -92,7 +97,8 @@
 type Digest struct {
 	// Version is that of the configuration in effect; 0 means none.
 	Version uint64 `json:"version"`
-	// Balancers and Sidecars are hosts that the sender has heard from.
+	// Balancers are hosts that the sender hears, Sidecars those whose upstreams may
+	// hold flows.
 	Balancers []netip.Addr `json:"balancers"`
 	Sidecars  []netip.Addr `json:"sidecars"`
 }
@@ -132,7 +138,7 @@
 		}
 		identity.PutUint40(head[2:], uint64(m.Service))
 		return append(append(b, head[:]...), m.Packet...), nil
-	case KindAccepted, KindRefused, KindClaimed:
+	case KindAccepted, KindRefused, KindClaimed, KindAbsent:
 		b = append(b, byte(m.Kind), byte(m.Reason))
 		b = binary.BigEndian.AppendUint16(b, m.Load.Active)
 		b = binary.BigEndian.AppendUint16(b, m.Load.Flows)
@@ -169,7 +175,7 @@
 		m.Service = identity.ServiceID(identity.GetUint40(data[2:]))
 		m.Packet = data[forwardHead:]
 		return m, nil
-	case KindAccepted, KindRefused, KindClaimed:
+	case KindAccepted, KindRefused, KindClaimed, KindAbsent:
 		if len(data) != answerSize {
 			return Message{}, errMessage
 		}
--- a/internal/flow/roster/roster.go
+++ b/internal/flow/roster/roster.go
@@ -13,8 +13,9 @@
 	// liveTime is how long a host counts as live after its last message. Hosts
 	// send several messages in it, so that single losses do not matter.
 	liveTime = 3 * clock.Second
-	// hintTime is how long a host that was only heard of is tried.
-	hintTime = 10 * clock.Second
+	// hintTime is how long a host that was only heard of is tried. It is longer than
+	// the time between two readings of the directory.
+	hintTime = 15 * clock.Second
 	// MaxList limits the hosts that a digest names, so that it fits a datagram.
 	MaxList = 128
 )
@@ -22,8 +23,8 @@
 type host struct {
 	// heard is the time of the last message of the host itself, learned the last
 	// time that another host named it.
-	heard, learned clock.Millis
-	wasHeard       bool
+	heard, learned  clock.Millis
+	wasHeard, named bool
 }
 
 // Roster is a set of hosts of one role.
@@ -49,15 +50,25 @@
 	return appeared
 }
 
-// Learned records that another source named hosts.
-func (r *Roster) Learned(now clock.Millis, addresses []netip.Addr) {
+// Learned records that another source named hosts. It returns those that were not
+// known.
+func (r *Roster) Learned(now clock.Millis, addresses []netip.Addr) []netip.Addr {
+	var added []netip.Addr
 	for _, address := range addresses {
+		_, known := r.hosts[address]
 		if h := r.get(address); h != nil {
-			h.learned = now
+			h.learned, h.named = now, true
+			if !known {
+				added = append(added, address)
+			}
 		}
 	}
+	return added
 }
 
+// Remove forgets a host that has said that it leaves.
+func (r *Roster) Remove(address netip.Addr) { delete(r.hosts, address) }
+
 func (r *Roster) get(address netip.Addr) *host {
 	if address == r.self || !address.Is4() {
 		return nil
@@ -80,6 +91,12 @@
 	return r.list(func(h *host) bool { return !h.live(now) && !h.expired(now) })
 }
 
+// Unheard returns the hosts that others name and that have never sent a message, in
+// order.
+func (r *Roster) Unheard(now clock.Millis) []netip.Addr {
+	return r.list(func(h *host) bool { return !h.wasHeard && !h.expired(now) })
+}
+
 // Expire forgets hosts that are neither live nor named any more.
 func (r *Roster) Expire(now clock.Millis) {
 	for address, h := range r.hosts {
@@ -103,5 +120,5 @@
 func (h *host) live(now clock.Millis) bool { return h.wasHeard && now-h.heard <= liveTime }
 
 func (h *host) expired(now clock.Millis) bool {
-	return now-h.learned > hintTime && (!h.wasHeard || now-h.heard > hintTime)
+	return (!h.named || now-h.learned > hintTime) && (!h.wasHeard || now-h.heard > hintTime)
 }
--- a/internal/flow/sidecar/sidecar.go
+++ b/internal/flow/sidecar/sidecar.go
@@ -152,10 +152,12 @@
 // seen.
 func (s *Sidecar) SetLearning(learning bool) { s.learning = learning }
 
-// Forget drops all flows, because the upstream has started anew.
+// Forget drops all flows, because the upstream seems to have started anew. Until
+// SetLearning ends it, the upstream itself decides which flows it holds.
 func (s *Sidecar) Forget() {
 	s.flows = map[segment.Key]*flow{}
 	s.active, s.open = 0, 0
+	s.learning = true
 }
 
 // Load returns the work of the upstream.
@@ -244,11 +246,12 @@
 	s.returnPacket(from, m.Broadcast, p.Key, m.Packet)
 }
 
-// returnPacket sends a packet back to the balancer, unless all other sidecars have
-// it already.
+// returnPacket sends a packet back to the balancer, or only says that its flow is
+// not here if all other sidecars have the packet already.
 func (s *Sidecar) returnPacket(to netip.AddrPort, broadcast bool, key segment.Key, packet []byte) {
 	s.counts[OutcomeNotHeld]++
 	if broadcast {
+		s.answer(to, relay.KindAbsent, 0, key)
 		return
 	}
 	s.config.Observe(Event{Outcome: OutcomeNotHeld, Key: key, Balancer: to})
@@ -274,9 +277,14 @@
 	}
 	f.seen = now
 	switch {
+	case p.Resets && !s.mayReset(f):
+		s.remove(p.Key, f)
+		s.counts[OutcomeNotHeld]++
+		s.answer(f.asker, relay.KindAbsent, 0, p.Key)
+		return
 	case p.Accepts():
 		s.handleAccepted(f, p)
-	case f.state == stateProbed && !p.Resets:
+	case f.state == stateProbed:
 		f.state = stateOpen
 		s.answer(f.asker, relay.KindClaimed, 0, p.Key)
 	}
@@ -288,6 +296,13 @@
 	}
 }
 
+// mayReset reports whether the upstream's reset is for its own flow. An upstream that
+// was only asked, or that the client has not chosen, must not reset the flow of
+// another one.
+func (s *Sidecar) mayReset(f *flow) bool {
+	return f.state == stateOpen || (f.state == stateProbed && !f.broadcast)
+}
+
 func (s *Sidecar) handleAccepted(f *flow, p segment.Segment) {
 	if f.state == stateOffered {
 		f.state = stateAccepted
--- /dev/null
+++ b/internal/flow/sidecar/sidecar_test.go
@@ -0,0 +1,210 @@
+package sidecar_test
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/flow/relay"
+	"github.com/orioledyke/orioledyke/internal/flow/segment"
+	"github.com/orioledyke/orioledyke/internal/flow/sidecar"
+	"github.com/orioledyke/orioledyke/platform"
+)
+
+var (
+	client   = netip.MustParseAddrPort("100.64.0.7:40001")
+	service  = netip.MustParseAddrPort("198.18.0.1:443")
+	key      = segment.NewKey(client, service)
+	balancer = netip.MustParseAddrPort("10.1.0.1:7000")
+	other    = netip.MustParseAddrPort("10.1.0.2:7000")
+	portal   = platform.ServiceID("portal")
+)
+
+// Bits of the platform's packets.
+const (
+	reset    = 1
+	returned = 4
+	final    = 16
+	opens    = 32
+	acks     = 128
+)
+
+// packet returns a packet with data bytes between the ends of the test flow.
+func packet(fromClient bool, flags byte, sequence, acknowledged uint32, data int) []byte {
+	raw := platform.EncodeReset(key, sequence)
+	if fromClient {
+		raw = platform.EncodeReset(segment.NewKey(service, client), sequence)
+	}
+	raw = append(raw, make([]byte, data)...)
+	raw[0] = flags
+	binary.LittleEndian.PutUint32(raw[8:], acknowledged)
+	binary.LittleEndian.PutUint16(raw[24:], uint16(data))
+	return raw
+}
+
+// harness records what a sidecar sends.
+type harness struct {
+	c          *qt.C
+	sidecar    *sidecar.Sidecar
+	now        clock.Millis
+	toUpstream int
+	toClient   int
+	answers    []relay.Message
+}
+
+func newHarness(t *testing.T) *harness {
+	h := &harness{c: qt.New(t)}
+	h.sidecar = sidecar.New(sidecar.Config{
+		Decode: platform.DecodeSegment, ClearReturned: platform.ClearReturned,
+		ToUpstream: func([]byte) { h.toUpstream++ },
+		ToClient:   func(netip.Addr, []byte) { h.toClient++ },
+		ToBalancer: func(_ netip.AddrPort, data []byte) {
+			m, err := relay.Decode(append([]byte(nil), data...))
+			h.c.Assert(err, qt.IsNil)
+			h.answers = append(h.answers, m)
+		},
+	})
+	return h
+}
+
+func (h *harness) forward(from netip.AddrPort, broadcast bool, raw []byte) {
+	h.sidecar.HandleForward(h.now, from, relay.Message{Kind: relay.KindForward, Service: portal, Broadcast: broadcast, Packet: raw})
+}
+
+// last returns the kind of the last answer and forgets all.
+func (h *harness) last() relay.Kind {
+	if len(h.answers) == 0 {
+		return 0
+	}
+	m := h.answers[len(h.answers)-1]
+	h.answers = nil
+	return m.Kind
+}
+
+// open opens the test flow at the upstream.
+func (h *harness) open() {
+	h.sidecar.Serve(portal)
+	h.forward(balancer, false, packet(true, opens, 1, 0, 0))
+	h.sidecar.HandleUpstream(h.now, packet(false, opens|acks, 500, 2, 0))
+	h.c.Assert(h.last(), qt.Equals, relay.KindAccepted)
+	h.forward(balancer, false, packet(true, acks, 2, 501, 100))
+	h.c.Assert(h.last(), qt.Equals, relay.Kind(0))
+}
+
+// Guards against work for an upstream that is draining, has not registered or
+// belongs to another service that has taken over the address.
+func TestRefusesNewFlows(t *testing.T) {
+	h := newHarness(t)
+	refused := func(reason relay.Reason) {
+		h.c.Helper()
+		h.forward(balancer, false, packet(true, opens, 1, 0, 0))
+		h.c.Assert(h.answers, qt.HasLen, 1)
+		h.c.Assert(h.answers[0].Reason, qt.Equals, reason)
+		h.c.Assert(h.last(), qt.Equals, relay.KindRefused)
+		h.c.Assert(h.toUpstream, qt.Equals, 0)
+	}
+	refused(relay.ReasonUnregistered)
+	h.sidecar.Serve(platform.ServiceID("weighbridge"))
+	refused(relay.ReasonService)
+	h.sidecar.Serve(portal)
+	h.sidecar.Refuse(relay.ReasonDraining)
+	refused(relay.ReasonDraining)
+}
+
+// Guards against a draining upstream that loses its open flows.
+func TestDrainingKeepsOpenFlows(t *testing.T) {
+	h := newHarness(t)
+	h.open()
+	h.sidecar.Refuse(relay.ReasonDraining)
+	h.forward(other, false, packet(true, acks, 102, 501, 100))
+	h.c.Assert(h.toUpstream, qt.Equals, 3)
+	h.c.Assert(h.last(), qt.Equals, relay.Kind(0))
+}
+
+// Guards against packets of an unknown flow that reach the wrong upstream, and
+// against a balancer that does not find the owner.
+func TestSearch(t *testing.T) {
+	h := newHarness(t)
+	h.sidecar.Serve(portal)
+	data := packet(true, acks, 2, 501, 100)
+	h.forward(other, true, data)
+	h.c.Assert(h.last(), qt.Equals, relay.KindAbsent)
+	h.forward(other, false, data)
+	h.c.Assert(h.last(), qt.Equals, relay.KindNotHeld)
+	h.c.Assert(h.toUpstream, qt.Equals, 0)
+	h.open()
+	h.forward(other, true, data)
+	h.c.Assert(h.last(), qt.Equals, relay.KindClaimed)
+}
+
+// Guards against a flow whose client has chosen another upstream that accepted a
+// copy of the request too.
+func TestOtherUpstreamWasChosen(t *testing.T) {
+	h := newHarness(t)
+	h.sidecar.Serve(portal)
+	h.forward(balancer, false, packet(true, opens, 1, 0, 0))
+	h.sidecar.HandleUpstream(h.now, packet(false, opens|acks, 500, 2, 0))
+	h.forward(balancer, false, packet(true, acks, 2, 4_000_000, 100))
+	h.c.Assert(h.last(), qt.Equals, relay.KindNotHeld)
+	h.c.Assert(h.toUpstream, qt.Equals, 1)
+}
+
+// Guards against flows that a sidecar loses when it restarts beside an upstream
+// that lives on.
+func TestLearnsFlowsAfterRestart(t *testing.T) {
+	h := newHarness(t)
+	h.sidecar.SetLearning(true)
+	h.forward(balancer, true, packet(true, acks, 2, 501, 100))
+	h.c.Assert(h.toUpstream, qt.Equals, 1)
+	h.c.Assert(h.last(), qt.Equals, relay.Kind(0))
+	h.sidecar.HandleUpstream(h.now, packet(false, acks, 501, 102, 50))
+	h.c.Assert(h.last(), qt.Equals, relay.KindClaimed)
+	h.c.Assert(h.toClient, qt.Equals, 1)
+}
+
+// Guards against a claim for a flow that the upstream returns.
+func TestLearningIsEndedByReturn(t *testing.T) {
+	h := newHarness(t)
+	h.sidecar.SetLearning(true)
+	h.forward(balancer, true, packet(true, acks, 2, 501, 100))
+	h.sidecar.HandleUpstream(h.now, packet(true, acks|returned, 2, 501, 100))
+	h.c.Assert(h.last(), qt.Equals, relay.KindAbsent)
+	h.c.Assert(h.toClient, qt.Equals, 0)
+}
+
+// Guards against the reset of a live flow by an upstream that was only asked
+// whether it holds the flow.
+func TestResetOfProbedFlowStaysHere(t *testing.T) {
+	h := newHarness(t)
+	h.sidecar.SetLearning(true)
+	h.forward(balancer, true, packet(true, acks, 2, 501, 100))
+	h.sidecar.HandleUpstream(h.now, packet(false, reset, 501, 102, 0))
+	h.c.Assert(h.toClient, qt.Equals, 0)
+	h.c.Assert(h.last(), qt.Equals, relay.KindAbsent)
+}
+
+// Guards against a load that never falls, which would keep new flows away.
+func TestLoad(t *testing.T) {
+	h := newHarness(t)
+	h.open()
+	h.c.Assert(h.sidecar.Load(), qt.Equals, relay.Load{Active: 1, Flows: 1})
+	h.sidecar.HandleUpstream(h.now, packet(false, acks, 501, 102, 50))
+	h.c.Assert(h.sidecar.Load(), qt.Equals, relay.Load{Flows: 1})
+	h.forward(balancer, false, packet(true, acks|final, 102, 551, 0))
+	h.sidecar.HandleUpstream(h.now, packet(false, acks|final, 551, 103, 0))
+	h.now += 10 * clock.Second
+	h.sidecar.Tick(h.now)
+	h.c.Assert(h.sidecar.Load(), qt.Equals, relay.Load{})
+}
+
+// Guards against a request that is lost when the upstream has no room.
+func TestReturnedRequestIsRefused(t *testing.T) {
+	h := newHarness(t)
+	h.sidecar.Serve(portal)
+	h.forward(balancer, false, packet(true, opens, 1, 0, 0))
+	h.sidecar.HandleUpstream(h.now, packet(true, opens|returned, 1, 0, 0))
+	h.c.Assert(h.last(), qt.Equals, relay.KindRefused)
+	h.c.Assert(h.sidecar.Load(), qt.Equals, relay.Load{})
+}
