standin: Add the platform's routers, clients and upstreams on a virtual clock

Change: standin/fleet runs the decisions of balancers and sidecars among modelled routers, clients and upstreams with seeds and faults; its oracle judges what clients and upstreams see.

--- /dev/null
+++ b/internal/flow/balancer/balancer_test.go
@@ -0,0 +1,256 @@
+package balancer_test
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/flow/balancer"
+	"github.com/orioledyke/orioledyke/internal/flow/relay"
+	"github.com/orioledyke/orioledyke/internal/flow/route"
+	"github.com/orioledyke/orioledyke/internal/flow/segment"
+	"github.com/orioledyke/orioledyke/platform"
+)
+
+var (
+	client    = netip.MustParseAddrPort("100.64.0.7:40001")
+	address   = netip.MustParseAddrPort("198.18.0.1:443")
+	key       = segment.NewKey(client, address)
+	portal    = platform.ServiceID("portal")
+	sidecars  = []netip.AddrPort{addr("10.1.0.11:7000"), addr("10.1.0.12:7000"), addr("10.1.0.13:7000")}
+	addr      = netip.MustParseAddrPort
+	openFlags = byte(32)
+	ackFlags  = byte(128)
+)
+
+// packet returns a packet of the client with data bytes.
+func packet(flags byte, acknowledged uint32, data int) []byte {
+	raw := append(platform.EncodeReset(segment.NewKey(address, client), 7), make([]byte, data)...)
+	raw[0] = flags
+	binary.LittleEndian.PutUint32(raw[8:], acknowledged)
+	binary.LittleEndian.PutUint16(raw[24:], uint16(data))
+	return raw
+}
+
+const toAll = "all "
+
+// searched returns the record of a packet that was sent to all of some sidecars.
+func searched(indexes ...int) []string {
+	var texts []string
+	for _, i := range indexes {
+		texts = append(texts, toAll+sidecars[i].String())
+	}
+	return texts
+}
+
+// harness records what a balancer sends.
+type harness struct {
+	c        *qt.C
+	balancer *balancer.Balancer
+	now      clock.Millis
+	complete bool
+	// forwards are the addresses that packets were sent to, and "all " before those
+	// of a packet to all sidecars.
+	forwards []string
+	resets   int
+}
+
+func newHarness(t *testing.T) *harness {
+	h := &harness{c: qt.New(t), now: 10 * clock.Second, complete: true}
+	h.balancer = balancer.New(balancer.Config{
+		DataCentre: "agassiz",
+		Decode:     func(data []byte) (segment.Segment, error) { return platform.DecodeSegment(data, false) },
+		Reset:      platform.EncodeReset,
+		ToSidecar: func(to netip.AddrPort, data []byte) {
+			m, err := relay.Decode(data)
+			h.c.Assert(err, qt.IsNil)
+			text := to.String()
+			if m.Broadcast {
+				text = toAll + text
+			}
+			h.forwards = append(h.forwards, text)
+		},
+		ToClient: func(netip.Addr, []byte) { h.resets++ },
+		Random:   func(int) int { return 0 },
+		Complete: func() bool { return h.complete },
+	})
+	h.balancer.SetTable(route.NewTable(route.Config{Version: 1, Routes: []route.Route{
+		{Address: address, Targets: []route.Target{{Service: portal, Weight: 1}}},
+	}}))
+	return h
+}
+
+func (h *harness) report(i int, accepting bool, load relay.Load) {
+	h.balancer.HandleSidecar(h.now, sidecars[i], relay.Message{Kind: relay.KindReport, Report: relay.Report{
+		Service: portal, DataCentre: "agassiz", Accepting: accepting, Slots: 3, Load: load,
+	}})
+}
+
+func (h *harness) reportAll() {
+	for i := range sidecars {
+		h.report(i, true, relay.Load{Active: uint16(i)})
+	}
+}
+
+func (h *harness) answer(kind relay.Kind, from netip.AddrPort) {
+	h.balancer.HandleSidecar(h.now, from, relay.Message{Kind: kind, Key: key})
+}
+
+func (h *harness) advance(d clock.Millis) {
+	h.now += d
+	h.balancer.Tick(h.now)
+}
+
+// take returns what was forwarded since the last call.
+func (h *harness) take() []string {
+	forwards := h.forwards
+	h.forwards = nil
+	return forwards
+}
+
+// Guards against requests that are lost with a sidecar that does not answer.
+func TestRequestMovesOnWithoutAnswer(t *testing.T) {
+	h := newHarness(t)
+	h.reportAll()
+	h.balancer.HandleClient(h.now, packet(openFlags, 0, 0))
+	h.c.Assert(h.take(), qt.DeepEquals, []string{sidecars[0].String()})
+	h.advance(29)
+	h.c.Assert(h.take(), qt.HasLen, 0)
+	h.advance(1)
+	h.c.Assert(h.take(), qt.DeepEquals, []string{sidecars[1].String()})
+	h.answer(relay.KindAccepted, sidecars[1])
+	h.advance(clock.Second)
+	h.balancer.HandleClient(h.now, packet(ackFlags, 1, 10))
+	h.c.Assert(h.take(), qt.DeepEquals, []string{sidecars[1].String()})
+}
+
+// Guards against a refusal of a request that an upstream may have accepted.
+func TestNoRefusalAfterMissingAnswer(t *testing.T) {
+	h := newHarness(t)
+	h.reportAll()
+	h.balancer.HandleClient(h.now, packet(openFlags, 0, 0))
+	h.advance(30)
+	h.answer(relay.KindRefused, sidecars[1])
+	h.answer(relay.KindRefused, sidecars[2])
+	h.c.Assert(h.resets, qt.Equals, 0)
+	h.c.Assert(h.take(), qt.HasLen, 3)
+}
+
+// Guards against a client that waits although every upstream has refused, and
+// against the refusal of a repeated request, which another balancer may have placed.
+func TestRefusal(t *testing.T) {
+	for copies, resets := range []int{1, 0} {
+		h := newHarness(t)
+		h.reportAll()
+		h.balancer.HandleClient(h.now, packet(openFlags, uint32(copies), 0))
+		for _, s := range sidecars {
+			h.answer(relay.KindRefused, s)
+		}
+		h.c.Assert(h.resets, qt.Equals, resets)
+	}
+}
+
+// Guards against refusals by a balancer that has just started.
+func TestRequestWaitsForFirstReport(t *testing.T) {
+	h := newHarness(t)
+	h.complete = false
+	h.balancer.HandleClient(h.now, packet(openFlags, 0, 0))
+	h.advance(600)
+	h.c.Assert(h.resets, qt.Equals, 0)
+	h.report(0, true, relay.Load{})
+	h.c.Assert(h.take(), qt.DeepEquals, []string{sidecars[0].String()})
+}
+
+// Guards against requests that wait for a service without sidecars until their
+// deadline.
+func TestWaitingEnds(t *testing.T) {
+	h := newHarness(t)
+	h.balancer.HandleClient(h.now, packet(openFlags, 0, 0))
+	for range 6 {
+		h.advance(50)
+	}
+	h.c.Assert(h.resets, qt.Equals, 1)
+}
+
+// Guards against new flows for an upstream that drains, that is silent, or that has
+// more work than others.
+func TestPlacement(t *testing.T) {
+	h := newHarness(t)
+	h.report(0, true, relay.Load{})
+	h.advance(850)
+	h.report(1, false, relay.Load{})
+	h.report(2, true, relay.Load{Active: 5, Flows: 90})
+	h.balancer.HandleClient(h.now, packet(openFlags, 0, 0))
+	h.c.Assert(h.take(), qt.DeepEquals, []string{sidecars[2].String()})
+}
+
+// Guards against open flows that break when another balancer gets their packets.
+func TestSearchFindsOwner(t *testing.T) {
+	h := newHarness(t)
+	h.reportAll()
+	h.balancer.HandleClient(h.now, packet(ackFlags, 1, 10))
+	h.c.Assert(h.take(), qt.DeepEquals, searched(0, 1, 2))
+	h.answer(relay.KindAbsent, sidecars[0])
+	h.answer(relay.KindClaimed, sidecars[2])
+	h.answer(relay.KindAbsent, sidecars[1])
+	h.c.Assert(h.resets, qt.Equals, 0)
+	h.balancer.HandleClient(h.now, packet(ackFlags, 1, 10))
+	h.c.Assert(h.take(), qt.DeepEquals, []string{sidecars[2].String()})
+}
+
+// Guards against an outdated owner that swallows the packets of a flow.
+func TestReturnedPacketIsSearched(t *testing.T) {
+	h := newHarness(t)
+	h.reportAll()
+	h.answer(relay.KindClaimed, sidecars[0])
+	h.balancer.HandleSidecar(h.now, sidecars[0], relay.Message{Kind: relay.KindNotHeld, Packet: packet(ackFlags, 1, 10)})
+	h.c.Assert(h.take(), qt.DeepEquals, searched(1, 2))
+}
+
+// Guards against resets of a flow whose owner is silent or not yet known, and
+// against clients that wait for a flow that is gone.
+func TestLostFlowIsReset(t *testing.T) {
+	h := newHarness(t)
+	h.reportAll()
+	lose := func(absent ...netip.AddrPort) {
+		h.balancer.HandleClient(h.now, packet(ackFlags, 1, 10))
+		for _, s := range absent {
+			h.answer(relay.KindAbsent, s)
+		}
+	}
+	lose(sidecars[0], sidecars[1], sidecars[1])
+	h.c.Assert(h.resets, qt.Equals, 0)
+	h.complete = false
+	lose(sidecars...)
+	h.c.Assert(h.resets, qt.Equals, 0)
+	h.complete = true
+	lose(sidecars...)
+	h.c.Assert(h.resets, qt.Equals, 1)
+}
+
+// Guards against a configuration that goes back to an older version.
+func TestConfigurationNeverReverts(t *testing.T) {
+	h := newHarness(t)
+	h.c.Assert(h.balancer.SetTable(route.NewTable(route.Config{Version: 3})), qt.IsTrue)
+	h.c.Assert(h.balancer.SetTable(route.NewTable(route.Config{Version: 2})), qt.IsFalse)
+	h.reportAll()
+	h.balancer.HandleClient(h.now, packet(openFlags, 0, 0))
+	h.c.Assert(h.take(), qt.HasLen, 0)
+	h.c.Assert(h.resets, qt.Equals, 1)
+}
+
+// Guards against a stranger who makes balancers multiply packets without limit.
+func TestSearchesAreLimited(t *testing.T) {
+	h := newHarness(t)
+	h.reportAll()
+	for range 3000 {
+		h.balancer.HandleClient(h.now, packet(ackFlags, 1, 0))
+	}
+	h.c.Assert(h.forwards, qt.HasLen, 2000*len(sidecars))
+	h.advance(clock.Second)
+	h.take()
+	h.balancer.HandleClient(h.now, packet(ackFlags, 1, 0))
+	h.c.Assert(h.take(), qt.HasLen, 3)
+}
--- a/internal/flow/node/directory.go
+++ b/internal/flow/node/directory.go
@@ -32,8 +32,8 @@
 	base *base
 	list platform.HostList
 	// learn receives the list.
-	learn   func(now clock.Millis, hosts platform.Hosts)
-	self    netip.Addr
+	learn func(now clock.Millis, hosts platform.Hosts)
+	self  netip.Addr
 	// read tells that the list has been read.
 	read    atomic.Bool
 	lease   atomic.Uint64
--- /dev/null
+++ b/internal/flow/relay/message_test.go
@@ -0,0 +1,52 @@
+package relay_test
+
+import (
+	"net/netip"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/orioledyke/orioledyke/internal/common/identity"
+	"github.com/orioledyke/orioledyke/internal/flow/relay"
+	"github.com/orioledyke/orioledyke/internal/flow/segment"
+)
+
+var key = segment.NewKey(netip.MustParseAddrPort("100.64.0.7:40001"), netip.MustParseAddrPort("198.18.0.1:443"))
+
+// Guards against a field that is lost between two processes.
+func TestMessages(t *testing.T) {
+	c := qt.New(t)
+	service := identity.NewServiceID("", "portal")
+	for _, m := range []relay.Message{
+		{Kind: relay.KindForward, Broadcast: true, Service: service, Packet: []byte{1, 2, 3}},
+		{Kind: relay.KindNotHeld, Packet: []byte{4}},
+		{Kind: relay.KindRefused, Reason: relay.ReasonDraining, Key: key, Load: relay.Load{Active: 7, Flows: 300}},
+		{Kind: relay.KindClaimed, Key: key},
+		{Kind: relay.KindReport, Report: relay.Report{
+			Incarnation: 99, Service: service, DataCentre: "hope", Accepting: true, Slots: 3, Warmup: 5,
+			Load: relay.Load{Active: 1, Flows: 2},
+		}},
+		{Kind: relay.KindDigest, Digest: relay.Digest{
+			Version: 3, Balancers: []netip.Addr{netip.MustParseAddr("10.1.0.1")}, Sidecars: []netip.Addr{},
+		}},
+	} {
+		data, err := m.Append(nil)
+		c.Assert(err, qt.IsNil)
+		decoded, err := relay.Decode(data)
+		c.Assert(err, qt.IsNil)
+		again, err := decoded.Append(nil)
+		c.Assert(err, qt.IsNil)
+		c.Assert(again, qt.DeepEquals, data)
+		c.Assert(decoded.Key, qt.Equals, m.Key)
+		c.Assert(decoded.Load, qt.Equals, m.Load)
+	}
+}
+
+// Guards against a crash on datagrams of a stranger.
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte{byte(relay.KindForward), 1, 0, 0, 0, 0, 0, 9})
+	f.Add([]byte{byte(relay.KindReport), '{', '}'})
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		// Only a panic is a failure.
+		_, _ = relay.Decode(data)
+	})
+}
--- /dev/null
+++ b/internal/standin/fleet/balancer.go
@@ -0,0 +1,166 @@
+package fleet
+
+import (
+	"net/netip"
+
+	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/flow/balancer"
+	"github.com/orioledyke/orioledyke/internal/flow/relay"
+	"github.com/orioledyke/orioledyke/internal/flow/route"
+	"github.com/orioledyke/orioledyke/internal/flow/segment"
+	"github.com/orioledyke/orioledyke/platform"
+)
+
+const (
+	relayPort = 7000
+	// settleTime is how long a balancer waits for reports after its start.
+	settleTime clock.Millis = 300
+	// tickInterval is the time between two ticks of a balancer.
+	tickInterval clock.Millis = 10
+)
+
+// balancerHost is an entry host with the decisions of a balancer.
+type balancerHost struct {
+	world   *World
+	index   int
+	address netip.AddrPort
+	machine *balancer.Balancer
+	// run is the number of the current run; datagrams of earlier ones are lost.
+	run      int
+	up       bool
+	draining bool
+	started  clock.Millis
+	misses   int
+	heard    map[netip.AddrPort]bool
+}
+
+func newBalancerHost(w *World, index int) *balancerHost {
+	b := &balancerHost{
+		world: w, index: index,
+		address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(index + 1)}), relayPort),
+	}
+	b.start()
+	w.after(clock.Millis(w.random.IntN(int(probeInterval))), b.probe)
+	return b
+}
+
+// start begins a run without any state.
+func (b *balancerHost) start() {
+	b.run++
+	b.up, b.draining, b.started = true, false, b.world.now
+	b.heard = map[netip.AddrPort]bool{}
+	b.machine = balancer.New(balancer.Config{
+		Decode:    func(packet []byte) (segment.Segment, error) { return platform.DecodeSegment(packet, false) },
+		Reset:     platform.EncodeReset,
+		ToSidecar: b.toSidecar,
+		ToClient:  func(_ netip.Addr, packet []byte) { b.world.toClient(append([]byte(nil), packet...)) },
+		Random:    b.world.random.IntN,
+		Complete:  b.complete,
+	})
+	b.world.after(clock.Millis(5+b.world.random.IntN(200)), b.configure(b.run))
+	b.tick(b.run)
+}
+
+// configure returns a function that applies the current configuration.
+func (b *balancerHost) configure(run int) func() {
+	return func() {
+		if !b.up || b.run != run {
+			return
+		}
+		config := route.Config{Version: b.world.version}
+		for s := range b.world.config.Services {
+			config.Routes = append(config.Routes, route.Route{
+				Address: serviceAddress(s),
+				Targets: []route.Target{{Service: platform.ServiceID(serviceName(s)), Weight: 1}},
+			})
+		}
+		b.machine.SetTable(route.NewTable(config))
+	}
+}
+
+// complete reports whether all sidecars have reported, as the directory and peers
+// would tell.
+func (b *balancerHost) complete() bool {
+	if b.world.now-b.started < settleTime {
+		return false
+	}
+	for _, u := range b.world.upstreams {
+		if !u.removed && !b.heard[u.address] {
+			return false
+		}
+	}
+	return true
+}
+
+func (b *balancerHost) tick(run int) {
+	if !b.up || b.run != run {
+		return
+	}
+	b.machine.Tick(b.world.now)
+	b.world.after(tickInterval, func() { b.tick(run) })
+}
+
+func (b *balancerHost) probe() {
+	if b.up && !b.draining && b.machine.Table() != nil && b.machine.Usable(b.world.now) > 0 {
+		b.misses = 0
+	} else {
+		b.misses++
+	}
+	b.world.after(probeInterval, b.probe)
+}
+
+// receive calls handle unless the process has ended since.
+func (b *balancerHost) receive(handle func()) {
+	run := b.run
+	b.world.deliver(func() {
+		if b.up && b.run == run {
+			handle()
+		}
+	})
+}
+
+func (b *balancerHost) toSidecar(to netip.AddrPort, data []byte) {
+	m, err := relay.Decode(append([]byte(nil), data...))
+	if err != nil {
+		b.world.fault("balancer %d sent an unreadable message: %v", b.index, err)
+		return
+	}
+	for _, u := range b.world.upstreams {
+		if u.address == to && !u.removed {
+			u.receive(func() { u.machine.HandleForward(b.world.now, b.address, m) })
+		}
+	}
+}
+
+// KillBalancer ends a balancer without notice and starts it again later.
+func (w *World) KillBalancer(index int, down clock.Millis) {
+	b := w.balancers[index]
+	if !b.up {
+		return
+	}
+	b.up = false
+	w.after(down, b.start)
+}
+
+// StopBalancer stops a balancer as an operator does and starts it again.
+func (w *World) StopBalancer(index int, down clock.Millis) {
+	b := w.balancers[index]
+	if !b.up || b.draining {
+		return
+	}
+	b.draining = true
+	run := b.run
+	w.after(3*clock.Second, func() {
+		if b.run == run && b.up {
+			w.KillBalancer(index, down)
+		}
+	})
+}
+
+// Configure makes a new configuration, which reaches each balancer at its own time.
+func (w *World) Configure() {
+	w.version++
+	for _, b := range w.balancers {
+		w.after(clock.Millis(1+w.random.IntN(1000)), b.configure(b.run))
+	}
+}
--- /dev/null
+++ b/internal/standin/fleet/faults.go
@@ -0,0 +1,104 @@
+package fleet
+
+import (
+	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/flow/registration"
+)
+
+// KillSidecar ends a sidecar without notice; its upstream lives on.
+func (w *World) KillSidecar(index int, down clock.Millis) {
+	u := w.upstreams[index]
+	if !u.up || u.removed {
+		return
+	}
+	u.up = false
+	w.after(down, func() {
+		if !u.removed {
+			u.startSidecar()
+		}
+	})
+}
+
+// RestartUpstream ends an upstream without notice and starts it again.
+func (w *World) RestartUpstream(index int, down clock.Millis) {
+	u := w.upstreams[index]
+	if !u.alive || u.removed {
+		return
+	}
+	u.alive = false
+	w.after(down, func() {
+		if !u.removed {
+			u.startUpstream()
+		}
+	})
+}
+
+// DelayedHeartbeat gives a sidecar a heartbeat of an incarnation that ended long ago.
+func (w *World) DelayedHeartbeat(index int) {
+	u := w.upstreams[index]
+	if u.removed || !u.alive {
+		return
+	}
+	u.heartbeat(registration.Heartbeat{
+		ID: "u-old", Service: serviceName(u.service), Address: u.app, Born: u.bornAt - 1000, Sequence: 900, Slots: slots,
+	})
+}
+
+// Drain makes an upstream leave: it reports the drain at once and ends when its work
+// is done.
+func (w *World) Drain(index int) {
+	u := w.upstreams[index]
+	if u.draining || !u.alive || u.removed {
+		return
+	}
+	u.draining = true
+	u.sequence++
+	u.heartbeat(registration.Heartbeat{
+		ID: u.id, Service: serviceName(u.service), Address: u.app, Born: u.bornAt, Sequence: u.sequence, Draining: true, Slots: slots,
+	})
+	w.after(6*clock.Second, func() { u.leave() })
+}
+
+func (u *upstreamHost) leave() {
+	if u.removed || !u.draining {
+		return
+	}
+	if u.up {
+		u.registration.Leave(u.id, u.bornAt)
+		u.report(u.run)
+	}
+	u.alive, u.up, u.removed = false, false, true
+}
+
+// ReuseAddress ends an upstream and its sidecar for good and gives their address to
+// another service.
+func (w *World) ReuseAddress(index, service int) {
+	u := w.upstreams[index]
+	if u.removed || u.service == service {
+		return
+	}
+	u.alive, u.up = false, false
+	u.run++
+	w.after(2*clock.Second, func() {
+		u.service = service
+		u.startUpstream()
+		u.startSidecar()
+	})
+}
+
+// Upstreams returns the number of hosts with an upstream so far.
+func (w *World) Upstreams() int { return len(w.upstreams) }
+
+// Serving returns how many upstreams of a service neither drain nor have ended.
+func (w *World) Serving(service int) int {
+	count := 0
+	for _, u := range w.upstreams {
+		if u.service == service && u.alive && !u.draining && !u.removed {
+			count++
+		}
+	}
+	return count
+}
+
+// Service returns the service of an upstream.
+func (w *World) Service(index int) int { return w.upstreams[index].service }
--- /dev/null
+++ b/internal/standin/fleet/fleet_test.go
@@ -0,0 +1,153 @@
+package fleet_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/standin/fleet"
+)
+
+var (
+	seed  = flag.Uint64("fleet.seed", 20261204, "first seed of TestFaults")
+	seeds = flag.Int("fleet.seeds", 12, "seeds of TestFaults")
+)
+
+// load opens flows of all services for some seconds.
+func load(w *fleet.World, services int, seconds int) {
+	for range seconds * 20 {
+		service := w.Chance(services)
+		if w.Chance(3) == 0 {
+			w.Open(service, 1, false)
+		} else {
+			w.Open(service, 3+w.Chance(8), true)
+		}
+		w.Run(clock.Second / 20)
+	}
+}
+
+// Guards against losses without any fault.
+func TestCalm(t *testing.T) {
+	c := qt.New(t)
+	for _, steady := range []bool{false, true} {
+		w := fleet.New(fleet.Config{Seed: 1, Steady: steady, Balancers: 4, Upstreams: 3, Services: 2})
+		w.Run(2 * clock.Second)
+		load(w, 2, 10)
+		w.Run(15 * clock.Second)
+		c.Assert(w.Faults(), qt.HasLen, 0)
+		c.Assert(w.Unserved(), qt.Equals, 0)
+		c.Assert(w.Served() > 500, qt.IsTrue)
+	}
+}
+
+// Guards against flows that break when balancers are stopped one after the other,
+// which moves nearly all packets to other balancers.
+func TestRollingRestartOfBalancers(t *testing.T) {
+	c := qt.New(t)
+	w := fleet.New(fleet.Config{Seed: 2, Balancers: 4, Upstreams: 3, Services: 2})
+	w.Run(2 * clock.Second)
+	for i := range 4 {
+		w.StopBalancer(i, clock.Second)
+		load(w, 2, 5)
+	}
+	w.Run(15 * clock.Second)
+	c.Assert(w.Faults(), qt.HasLen, 0)
+	c.Assert(w.Unserved(), qt.Equals, 0)
+}
+
+// Guards against flows of a living upstream that are lost with its sidecar.
+func TestSidecarRestart(t *testing.T) {
+	c := qt.New(t)
+	w := fleet.New(fleet.Config{Seed: 3, Balancers: 3, Upstreams: 3, Services: 1})
+	w.Run(2 * clock.Second)
+	for i := range 3 {
+		load(w, 1, 4)
+		w.KillSidecar(i, 600)
+	}
+	load(w, 1, 4)
+	w.Run(15 * clock.Second)
+	c.Assert(w.Faults(), qt.HasLen, 0)
+	c.Assert(w.Unserved() < 10, qt.IsTrue, qt.Commentf("%d unserved", w.Unserved()))
+}
+
+// Guards against service that does not come back after everything was killed.
+func TestAllKilled(t *testing.T) {
+	c := qt.New(t)
+	w := fleet.New(fleet.Config{Seed: 4, Balancers: 4, Upstreams: 3, Services: 2})
+	w.Run(2 * clock.Second)
+	load(w, 2, 5)
+	for i := range 4 {
+		w.KillBalancer(i, clock.Millis(500+w.Chance(700)))
+	}
+	for i := range w.Upstreams() {
+		w.KillSidecar(i, clock.Millis(500+w.Chance(700)))
+		w.RestartUpstream(i, clock.Millis(500+w.Chance(700)))
+	}
+	load(w, 2, 5)
+	w.Run(5 * clock.Second)
+	unserved, served := w.Unserved(), w.Served()
+	load(w, 2, 5)
+	w.Run(15 * clock.Second)
+	c.Assert(w.Faults(), qt.HasLen, 0)
+	c.Assert(w.Served() > served+300, qt.IsTrue)
+	c.Assert(w.Unserved(), qt.Equals, unserved)
+}
+
+// fault makes one random fault.
+func fault(w *fleet.World, balancers, services int) {
+	upstream := w.Chance(w.Upstreams())
+	down := clock.Millis(200 + w.Chance(2000))
+	switch w.Chance(10) {
+	case 0:
+		w.KillBalancer(w.Chance(balancers), down)
+	case 1:
+		w.StopBalancer(w.Chance(balancers), down)
+	case 2:
+		w.KillSidecar(upstream, down)
+	case 3:
+		w.RestartUpstream(upstream, down)
+	case 4:
+		w.DelayedHeartbeat(upstream)
+	case 5:
+		if w.Serving(w.Service(upstream)) > 2 {
+			w.Drain(upstream)
+		}
+	case 6:
+		if w.Serving(w.Service(upstream)) > 2 {
+			w.ReuseAddress(upstream, w.Chance(services))
+		}
+	case 7:
+		w.AddUpstream(w.Chance(services))
+	default:
+		w.Configure()
+	}
+}
+
+// Guards against broken rules under overlapping faults: a flow opened at another
+// service or long after a drain, a live flow that is reset, an answer for another
+// request, and a refusal of a request that has run.
+func TestFaults(t *testing.T) {
+	const balancers, services = 4, 2
+	for s := *seed; s < *seed+uint64(*seeds); s++ {
+		t.Run(fmt.Sprint(s), func(t *testing.T) {
+			c := qt.New(t)
+			w := fleet.New(fleet.Config{
+				Seed: s, Steady: s%2 == 0, Balancers: balancers, Upstreams: 3, Services: services, Loss: float64(s%3) / 100,
+			})
+			w.Run(2 * clock.Second)
+			for range 20 {
+				fault(w, balancers, services)
+				load(w, services, 1)
+			}
+			w.Run(5 * clock.Second)
+			unserved := w.Unserved()
+			load(w, services, 3)
+			w.Run(20 * clock.Second)
+			c.Assert(w.Faults(), qt.HasLen, 0)
+			lost := w.Unserved() - unserved
+			c.Assert(lost <= 2, qt.IsTrue, qt.Commentf("%d requests after the last fault were not served", lost))
+		})
+	}
+}
--- /dev/null
+++ b/internal/standin/fleet/packet.go
@@ -0,0 +1,77 @@
+package fleet
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/orioledyke/orioledyke/internal/flow/segment"
+)
+
+// The head of a packet as the platform publishes it. The stand-in has its own codec,
+// so that it does not share mistakes with the product's.
+const (
+	headSize = 34
+
+	flagReset    = 1
+	flagReturned = 4
+	flagFinal    = 16
+	flagOpen     = 32
+	flagAck      = 128
+
+	// senderSum marks packets of clients and upstreams. The system's own resets
+	// have the sum 0.
+	senderSum = 0x5eed
+)
+
+// header is the head of a packet, with the request that its data carries.
+type header struct {
+	from, to      netip.AddrPort
+	flags         byte
+	sequence, ack uint32
+	sum           uint32
+	// request is the identifier in the data, 0 if there is no data.
+	request uint64
+}
+
+func (h header) has(flag byte) bool { return h.flags&flag != 0 }
+
+func putAddress(a netip.AddrPort, ip, port []byte) {
+	octets := a.Addr().As4()
+	binary.LittleEndian.PutUint32(ip, binary.BigEndian.Uint32(octets[:]))
+	binary.LittleEndian.PutUint16(port, a.Port())
+}
+
+func getAddress(ip, port []byte) netip.AddrPort {
+	var octets [4]byte
+	binary.BigEndian.PutUint32(octets[:], binary.LittleEndian.Uint32(ip))
+	return netip.AddrPortFrom(netip.AddrFrom4(octets), binary.LittleEndian.Uint16(port))
+}
+
+func (h header) encode() []byte {
+	b := make([]byte, headSize, headSize+8)
+	b[0] = h.flags
+	binary.LittleEndian.PutUint32(b[4:], h.sequence)
+	binary.LittleEndian.PutUint32(b[8:], h.ack)
+	putAddress(h.to, b[12:], b[22:])
+	putAddress(h.from, b[18:], b[16:])
+	binary.LittleEndian.PutUint32(b[30:], h.sum)
+	if h.request != 0 {
+		binary.LittleEndian.PutUint16(b[24:], 8)
+		b = binary.LittleEndian.AppendUint64(b, h.request)
+	}
+	return b
+}
+
+func decode(b []byte) header {
+	h := header{
+		from: getAddress(b[18:], b[16:]), to: getAddress(b[12:], b[22:]), flags: b[0],
+		sequence: binary.LittleEndian.Uint32(b[4:]), ack: binary.LittleEndian.Uint32(b[8:]),
+		sum: binary.LittleEndian.Uint32(b[30:]),
+	}
+	if len(b) >= headSize+8 {
+		h.request = binary.LittleEndian.Uint64(b[headSize:])
+	}
+	return h
+}
+
+func keyOf(client, service netip.AddrPort) segment.Key { return segment.NewKey(client, service) }
