balancer: Hold uploads back on slow links; small reports

Cause: hosts with links of 10 Mbit/s queue the packets of uploads for more than 150 ms, and requests for new flows with them; each balancer sent 170 KB/s of digests in a fleet of 85 hosts; an upload counted as work before it was complete. Change: at most as many uploads at a time as queue for 80 ms, others wait and are then refused, so that the next try may reach another balancer; reports of 40 bytes at an interval that grows with the fleet; digests without lists; time to answer from measured answers.

--- a/internal/common/settings/flow.go
+++ b/internal/common/settings/flow.go
@@ -25,6 +25,9 @@
 	Seeds []netip.AddrPort `yaml:"seeds" rule:"reachable"`
 	// DrainTimeout is how long the process may run on after SIGTERM.
 	DrainTimeout time.Duration `yaml:"drain-timeout" rule:"positive,required"`
+	// LinkRate is the rate of the host's link in megabits a second. Zero means not
+	// known.
+	LinkRate float64 `yaml:"link-rate-mbps" rule:"rate"`
 	// FlowLifetime is the age at which a flow may be forgotten.
 	FlowLifetime time.Duration `yaml:"flow-lifetime" rule:"positive,required"`
 
--- a/internal/common/settings/rule.go
+++ b/internal/common/settings/rule.go
@@ -30,7 +30,7 @@
 // wants tells what each kind of value allows. The kinds are: role, label, name,
 // address (IP:port to listen on), reachable (IP:port that peers are told), ip,
 // url, host-port, file (must be readable), key-ring (must be a valid key ring),
-// output (must be in an existing directory), positive (duration), ratio.
+// output (must be in an existing directory), positive (duration), rate, ratio.
 var wants = map[string]string{
 	"role":      "balancer, sidecar, flow-balancer or flow-sidecar",
 	"label":     "1 to 200 printable characters",
@@ -44,6 +44,7 @@
 	"key-ring":  "a key ring file that can be read",
 	"output":    "a file in an existing directory",
 	"positive":  "a duration above zero with its unit, such as 500ms or 1s",
+	"rate":      "a number of megabits a second, such as 1000",
 	"ratio":     "a number from 0 to 1",
 }
 
@@ -68,7 +69,7 @@
 	case time.Duration:
 		allowed = v > 0
 	case float64:
-		allowed = v >= 0 && v <= 1
+		allowed = v >= 0 && (v <= 1 || r.kind == "rate")
 	case string:
 		allowed, reason = r.checkText(v)
 	}
--- a/internal/flow/balancer/balancer.go
+++ b/internal/flow/balancer/balancer.go
@@ -15,10 +15,11 @@
 )
 
 const (
-	// answerTimeout is how long a sidecar may take to accept a new flow before
-	// another one is asked: several round trips between data centres, and well
-	// below the first retransmission of clients after 200 ms.
-	answerTimeout clock.Millis = 30
+	// minAnswerTimeout and maxAnswerTimeout bound how long a sidecar may take to
+	// accept a new flow before another one is asked: at least several round trips
+	// between data centres, and less than the 200 ms after which clients repeat.
+	minAnswerTimeout clock.Millis = 30
+	maxAnswerTimeout clock.Millis = 150
 	// openingLife is how long a flow may take to open. Clients give up after
 	// 1.4 s.
 	openingLife = 2 * clock.Second
@@ -62,12 +63,13 @@
 	OutcomeAccepted
 	OutcomeWaiting
 	OutcomeLost
+	OutcomeLinkFull
 	OutcomeCount
 )
 
 var outcomeNames = [OutcomeCount]string{
 	"placed", "moved-on", "timed-out", "forwarded", "broadcast", "reset", "no-route", "no-sidecar",
-	"invalid", "limited", "not-held", "claimed", "accepted", "waiting", "lost",
+	"invalid", "limited", "not-held", "claimed", "accepted", "waiting", "lost", "link-full",
 }
 
 // String returns the name of the outcome in metrics and logs.
@@ -92,6 +94,8 @@
 // Balancer and must not call it back.
 type Config struct {
 	DataCentre string
+	// LinkRate is that of the host's link in megabits a second; 0 means not known.
+	LinkRate float64
 	// Decode reads a client's packet.
 	Decode func([]byte) (segment.Segment, error)
 	// Reset returns the packet that refuses a flow.
@@ -119,8 +123,12 @@
 	waiting []*opening
 	// openings are the requests that wait for an answer, in order of their deadlines.
 	openings []attempt
-	buffer   []byte
-	swept    clock.Millis
+	answers  latency
+	// bulk are the bulk flows that send, at most bulkLimit.
+	bulk      map[segment.Key]struct{}
+	bulkLimit int
+	buffer    []byte
+	swept     clock.Millis
 	// window and broadcasts count the broadcasts of the current second.
 	window     clock.Millis
 	broadcasts int
@@ -156,6 +164,7 @@
 		sidecars: map[netip.AddrPort]*sidecar{},
 		services: map[identity.ServiceID][]*sidecar{},
 		flows:    map[segment.Key]*flow{},
+		bulk:     map[segment.Key]struct{}{}, bulkLimit: bulkLimit(config.LinkRate),
 	}
 }
 
@@ -190,6 +199,7 @@
 		b.handleRequest(now, f, s, packet)
 		return
 	}
+	b.trackBulk(s)
 	if f != nil && f.owner.IsValid() {
 		f.seen = now
 		b.forward(f.owner, relay.KindForward, b.serviceOf(s.Key), false, packet)
--- a/internal/flow/balancer/opening.go
+++ b/internal/flow/balancer/opening.go
@@ -63,6 +63,10 @@
 // ask sends the request to the best sidecar that has not been asked. If there is
 // none, the client gets a refusal, unless some upstream may have accepted the flow.
 func (b *Balancer) ask(now clock.Millis, f *flow, o *opening, reason relay.Reason) {
+	if len(o.tried) == 0 && b.isBulk(o.key) && b.bulkFull(now) {
+		b.waitForLink(now, f, o)
+		return
+	}
 	if len(o.tried) < maxAttempts {
 		if c := b.pick(now, o); c != nil {
 			outcome := OutcomePlaced
@@ -72,7 +76,7 @@
 			o.tried = append(o.tried, c.address)
 			o.waiting = false
 			o.unanswered++
-			o.deadline = now + answerTimeout
+			o.deadline = now + b.answers.timeout()
 			b.openings = append(b.openings, attempt{opening: o, deadline: o.deadline})
 			c.placed++
 			f.owner = c.address
@@ -91,10 +95,27 @@
 		b.wait(now, o)
 		return
 	}
+	b.giveUp(o, Event{Outcome: OutcomeNoSidecar, Reason: reason})
+}
+
+// giveUp refuses a request that was given to no upstream.
+func (b *Balancer) giveUp(o *opening, e Event) {
 	delete(b.flows, o.key)
-	b.refuse(o.key, o.copies, Event{
-		Outcome: OutcomeNoSidecar, Key: o.key, Reason: reason, Version: b.table.Version(), Attempt: len(o.tried),
-	})
+	e.Key, e.Version, e.Attempt = o.key, b.table.Version(), len(o.tried)
+	b.refuse(o.key, o.copies, e)
+}
+
+// waitForLink keeps a new bulk flow back until others have ended. After that the
+// client is refused, whose next try may reach a balancer with a faster link.
+func (b *Balancer) waitForLink(now clock.Millis, f *flow, o *opening) {
+	if now-o.began >= bulkPatience {
+		b.giveUp(o, Event{Outcome: OutcomeLinkFull})
+		return
+	}
+	o.waiting = true
+	o.deadline = now + bulkPoll
+	b.openings = append(b.openings, attempt{opening: o, deadline: o.deadline})
+	f.seen = now
 }
 
 // patience is how long a request waits for a sidecar that can be asked.
@@ -150,6 +171,9 @@
 	}
 	f.seen = now
 	f.owner, f.accepted = from, true
+	if f.opening != nil {
+		b.answers.observe(now - f.opening.began)
+	}
 	f.opening = nil
 	b.count(Event{Outcome: OutcomeAccepted, Key: key, Sidecar: from})
 }
--- a/internal/flow/balancer/sidecar.go
+++ b/internal/flow/balancer/sidecar.go
@@ -10,9 +10,11 @@
 )
 
 const (
-	// reportLife is how long a report counts for placement: three reports may be
-	// lost.
-	reportLife clock.Millis = 800
+	// reportsMissed is how many reports may be missing before a sidecar gets no new
+	// flows.
+	reportsMissed = 4
+	// defaultInterval is the time between reports of a sidecar that gives none.
+	defaultInterval clock.Millis = 200
 	// sidecarLife is how long a silent sidecar is still asked for open flows.
 	sidecarLife = 60 * clock.Second
 	// flowCost is the part of a slot that an open flow without a request counts.
@@ -50,7 +52,11 @@
 
 // usable reports whether the sidecar may get new flows.
 func (c *sidecar) usable(now clock.Millis) bool {
-	return c.report.Accepting && now-c.heard <= reportLife
+	interval := c.report.Interval
+	if interval == 0 {
+		interval = defaultInterval
+	}
+	return c.report.Accepting && now-c.heard <= reportsMissed*interval
 }
 
 // full reports whether new flows would wait long for a slot.
--- a/internal/flow/node/balancer.go
+++ b/internal/flow/node/balancer.go
@@ -23,6 +23,9 @@
 const (
 	// digestInterval is the time between two digests.
 	digestInterval clock.Millis = 500
+	// listDigests is the number of digests of which one has the lists of hosts, which
+	// are long.
+	listDigests = 10
 	// settleTime is how long a balancer waits for reports after its start before it
 	// relies on having heard all sidecars. With the directory, which names them, the
 	// answers of peers are all that it waits for.
@@ -51,6 +54,8 @@
 	peers     *http.Client
 	// armed tells that a timer waits for the next late answer.
 	armed bool
+	// digests counts the digests sent.
+	digests int
 	// packet is the time of the last packet of a client.
 	packet clock.Millis
 	// newer is the highest version that a peer has, heard from newerAt at
@@ -74,6 +79,7 @@
 	}
 	n.machine = balancer.New(balancer.Config{
 		DataCentre: s.DataCentre,
+		LinkRate:   s.LinkRate,
 		Decode:     func(packet []byte) (segment.Segment, error) { return platform.DecodeSegment(packet, false) },
 		Reset:      platform.EncodeReset,
 		ToSidecar:  func(to netip.AddrPort, data []byte) { b.send(b.relay, to, data) },
@@ -176,7 +182,7 @@
 func (n *balancerNode) handleDigest(now clock.Millis, from netip.Addr, d relay.Digest) {
 	if n.balancers.Heard(now, from) {
 		n.logger.Info("balancer-appeared", zap.Stringer("balancer", from))
-		n.digestTo(now, []netip.Addr{from})
+		n.digestTo(now, []netip.Addr{from}, true)
 	}
 	n.learn(now, platform.Hosts{platform.Balancers: d.Balancers, platform.Sidecars: d.Sidecars})
 	if d.Version > n.newer {
@@ -187,20 +193,20 @@
 // learn contacts hosts that are new here.
 func (n *balancerNode) learn(now clock.Millis, hosts platform.Hosts) {
 	added := n.balancers.Learned(now, hosts[platform.Balancers])
-	n.digestTo(now, append(added, n.sidecars.Learned(now, hosts[platform.Sidecars])...))
+	n.digestTo(now, append(added, n.sidecars.Learned(now, hosts[platform.Sidecars])...), true)
 }
 
-// digestTo sends hosts what this balancer knows.
-func (n *balancerNode) digestTo(now clock.Millis, hosts []netip.Addr) {
+// digestTo sends hosts what this balancer knows, with or without the lists of hosts.
+func (n *balancerNode) digestTo(now clock.Millis, hosts []netip.Addr, lists bool) {
 	if n.stopping || len(hosts) == 0 {
 		return
 	}
-	balancers, sidecars := n.balancers.Live(now), n.machine.Sidecars()
-	m := relay.Message{Kind: relay.KindDigest, Digest: relay.Digest{
-		Version:   n.machine.Table().Version(),
-		Balancers: balancers[:min(len(balancers), roster.MaxList)],
-		Sidecars:  sidecars[:min(len(sidecars), roster.MaxList)],
-	}}
+	m := relay.Message{Kind: relay.KindDigest, Digest: relay.Digest{Version: n.machine.Table().Version()}}
+	if lists {
+		balancers, sidecars := n.balancers.Live(now), n.machine.Sidecars()
+		m.Digest.Balancers = balancers[:min(len(balancers), roster.MaxList)]
+		m.Digest.Sidecars = sidecars[:min(len(sidecars), roster.MaxList)]
+	}
 	data, err := m.Append(nil)
 	if err != nil {
 		n.logger.Error("digest-failed", zap.Error(err))
@@ -228,11 +234,12 @@
 	now := n.clock.Now()
 	n.machine.Tick(now)
 	n.balancers.Learned(now, n.seedHosts())
-	targets := append(n.balancers.Live(now), n.balancers.Silent(now)...)
-	targets = append(append(targets, n.sidecars.Live(now)...), n.sidecars.Silent(now)...)
 	n.balancers.Expire(now)
 	n.sidecars.Expire(now)
-	n.digestTo(now, targets)
+	n.digests++
+	lists := n.digests%listDigests == 0
+	n.digestTo(now, append(n.balancers.Live(now), n.sidecars.Live(now)...), lists)
+	n.digestTo(now, append(n.balancers.Silent(now), n.sidecars.Silent(now)...), false)
 	behind, peer := n.newer > n.machine.Table().Version() && now-n.newerSince >= peerDelay, n.newerAt
 	n.mutex.Unlock()
 	if behind {
@@ -296,7 +303,7 @@
 	applied := n.machine.SetTable(table)
 	if applied {
 		now := n.clock.Now()
-		n.digestTo(now, n.balancers.Live(now))
+		n.digestTo(now, n.balancers.Live(now), false)
 	}
 	n.mutex.Unlock()
 	if applied {
--- a/internal/flow/node/sidecar.go
+++ b/internal/flow/node/sidecar.go
@@ -16,8 +16,12 @@
 )
 
 const (
-	// reportInterval is the time between two reports to each balancer.
-	reportInterval clock.Millis = 200
+	// reportInterval is the shortest time between two reports to each balancer, and
+	// reportCost what each balancer adds to it, so that a sidecar sends at most a
+	// hundred reports in a second. maxReportInterval is the longest.
+	reportInterval    clock.Millis = 200
+	reportCost        clock.Millis = 10
+	maxReportInterval              = 10 * clock.Second
 	// contactInterval is the time between two reports to hosts that may run a
 	// balancer but are not known to.
 	contactInterval = clock.Second
@@ -39,6 +43,8 @@
 	directory    *directory
 	incarnation  identity.OwnerID
 	contacted    clock.Millis
+	reported     clock.Millis
+	interval     clock.Millis
 	// learnUntil is when every flow that the upstream could hold unseen has ended.
 	learnUntil clock.Millis
 	// born is the start of the upstream whose flows the machine holds.
@@ -69,6 +75,7 @@
 		ToUpstream: func(packet []byte) { b.send(n.outbound, n.own.UpstreamAddress, packet) },
 		ToClient:   b.toClient,
 		ToBalancer: func(to netip.AddrPort, data []byte) { b.send(b.relay, to, data) },
+		FullLength: platform.MaxData,
 		Observe:    n.observe,
 	})
 	n.machine.SetLearning(true)
@@ -84,7 +91,7 @@
 	n.addReader("relay", n.relay, relay.MaxMessage, n.handleRelay)
 	n.addReader("outbound", n.outbound, platform.MaxSegment+1, n.handleOutbound)
 	n.addTimer("report", reportInterval, n.sendReports)
-	n.addStartTimer(n.sendReports)
+	n.addStartTimer(func(context.Context) { n.contact() })
 	n.tree.Add("directory", n.directory.serve)
 	if err := n.addSettings(n.applySettings); err != nil {
 		return err
@@ -221,14 +228,30 @@
 	if n.id != "" && now > n.learnUntil {
 		n.machine.SetLearning(false)
 	}
-	targets := n.balancers.Live(now)
-	if now-n.contacted >= contactInterval || now-n.started < startContacts*startInterval {
-		n.contacted = now
-		n.balancers.Learned(now, n.seedHosts())
-		n.balancers.Expire(now)
-		targets = append(targets, n.balancers.Silent(now)...)
+	if now-n.contacted >= contactInterval {
+		n.contactSilent(now)
 	}
-	n.reportTo(targets)
+	live := n.balancers.Live(now)
+	n.interval = min(max(reportInterval, reportCost*clock.Millis(len(live))), maxReportInterval)
+	if now-n.reported >= n.interval {
+		n.reported = now
+		n.reportTo(live)
+	}
+}
+
+// contact reports to hosts that have not answered, which happens often after the
+// start.
+func (n *sidecarNode) contact() {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.contactSilent(n.clock.Now())
+}
+
+func (n *sidecarNode) contactSilent(now clock.Millis) {
+	n.contacted = now
+	n.balancers.Learned(now, n.seedHosts())
+	n.balancers.Expire(now)
+	n.reportTo(n.balancers.Silent(now))
 }
 
 // reportTo sends a report to hosts of balancers.
@@ -237,7 +260,7 @@
 	m := relay.Message{Kind: relay.KindReport, Report: relay.Report{
 		Incarnation: n.incarnation, Service: platform.ServiceID(n.own.Service), DataCentre: n.settings.DataCentre,
 		Accepting: n.machine.Accepting(), Departed: n.departed, Slots: current.Slots,
-		Warmup: n.registration.Warmup(n.clock.Now()), Load: n.machine.Load(),
+		Warmup: n.registration.Warmup(n.clock.Now()), Interval: n.interval, Load: n.machine.Load(),
 	}}
 	data, err := m.Append(nil)
 	if err != nil {
--- a/internal/flow/relay/message.go
+++ b/internal/flow/relay/message.go
@@ -1,6 +1,6 @@
 // Package relay is the codec of the datagrams between balancers and sidecars that
-// carry flows without a connection ID. Fixed heads carry what every packet needs;
-// JSON carries reports and digests, of which a process sends a few each second.
+// carry flows without a connection ID. Fixed heads carry what is sent often; JSON
+// carries digests, of which a process sends a few each second.
 package relay
 
 import (
@@ -71,26 +71,29 @@
 // Load is the work at an upstream.
 type Load struct {
 	// Active is the number of requests in progress.
-	Active uint16 `json:"active"`
+	Active uint16
 	// Flows is the number of open flows.
-	Flows uint16 `json:"flows"`
+	Flows uint16
 }
 
 // Report is the state of a sidecar and its upstream.
 type Report struct {
 	// Incarnation identifies the run of the sidecar.
-	Incarnation identity.OwnerID   `json:"incarnation"`
-	Service     identity.ServiceID `json:"service"`
-	DataCentre  string             `json:"data-centre"`
+	Incarnation identity.OwnerID
+	Service     identity.ServiceID
+	// DataCentre is shortened to 255 bytes.
+	DataCentre string
 	// Accepting tells that the upstream takes new flows.
-	Accepting bool `json:"accepting"`
+	Accepting bool
 	// Departed tells that the upstream has ended for good and holds no flow.
-	Departed bool `json:"departed,omitempty"`
+	Departed bool
 	// Slots is the number of requests that the upstream works on at a time.
-	Slots int `json:"slots"`
+	Slots int
 	// Warmup is how much longer the upstream is slow after its start.
-	Warmup clock.Millis `json:"warmup"`
-	Load   Load         `json:"load"`
+	Warmup clock.Millis
+	// Interval is the time to the next report.
+	Interval clock.Millis
+	Load     Load
 }
 
 // Digest is what a balancer knows.
@@ -99,8 +102,8 @@
 	Version uint64 `json:"version"`
 	// Balancers are hosts that the sender hears, Sidecars those whose upstreams may
 	// hold flows.
-	Balancers []netip.Addr `json:"balancers"`
-	Sidecars  []netip.Addr `json:"sidecars"`
+	Balancers []netip.Addr `json:"balancers,omitempty"`
+	Sidecars  []netip.Addr `json:"sidecars,omitempty"`
 }
 
 // Message is one datagram. Which fields are set follows from Kind.
@@ -144,7 +147,7 @@
 		b = binary.BigEndian.AppendUint16(b, m.Load.Flows)
 		return m.Key.Append(b), nil
 	case KindReport:
-		return appendJSON(b, m.Kind, m.Report)
+		return m.Report.append(b), nil
 	case KindDigest:
 		return appendJSON(b, m.Kind, m.Digest)
 	default:
@@ -185,7 +188,9 @@
 		m.Key, _ = segment.DecodeKey(data[6:])
 		return m, nil
 	case KindReport:
-		return m, json.Unmarshal(data[1:], &m.Report)
+		var err error
+		m.Report, err = decodeReport(data)
+		return m, err
 	case KindDigest:
 		return m, json.Unmarshal(data[1:], &m.Digest)
 	default:
--- a/internal/flow/relay/message_test.go
+++ b/internal/flow/relay/message_test.go
@@ -22,7 +22,7 @@
 		{Kind: relay.KindRefused, Reason: relay.ReasonDraining, Key: key, Load: relay.Load{Active: 7, Flows: 300}},
 		{Kind: relay.KindClaimed, Key: key},
 		{Kind: relay.KindReport, Report: relay.Report{
-			Incarnation: 99, Service: service, DataCentre: "hope", Accepting: true, Slots: 3, Warmup: 5,
+			Incarnation: 99, Service: service, DataCentre: "hope", Accepting: true, Slots: 3, Warmup: 5, Interval: 240,
 			Load: relay.Load{Active: 1, Flows: 2},
 		}},
 		{Kind: relay.KindDigest, Digest: relay.Digest{
@@ -38,6 +38,7 @@
 		c.Assert(again, qt.DeepEquals, data)
 		c.Assert(decoded.Key, qt.Equals, m.Key)
 		c.Assert(decoded.Load, qt.Equals, m.Load)
+		c.Assert(decoded.Report, qt.Equals, m.Report)
 	}
 }
 
--- a/internal/flow/route/table.go
+++ b/internal/flow/route/table.go
@@ -23,6 +23,8 @@
 	Targets []Target
 	// Priority of the requests in the flows; 0 is the highest.
 	Priority int
+	// Bulk tells that requests are long and responses short, as in uploads.
+	Bulk bool
 }
 
 // Config configures a Table.
--- a/internal/flow/sidecar/sidecar.go
+++ b/internal/flow/sidecar/sidecar.go
@@ -75,6 +75,8 @@
 	ToUpstream func(packet []byte)
 	ToClient   func(to netip.Addr, packet []byte)
 	ToBalancer func(to netip.AddrPort, data []byte)
+	// FullLength is the data of a full packet in bytes.
+	FullLength int
 	// Observe receives decisions about flows. Nil means nothing.
 	Observe func(Event)
 }
@@ -340,16 +342,18 @@
 	}
 }
 
-// trackRequest counts a client's data as work until the upstream sends data.
+// trackRequest counts a request as work from its last packet until the upstream sends
+// data. The packets before are full: an upload takes a slot only when it is complete.
 func (s *Sidecar) trackRequest(now clock.Millis, f *flow, p segment.Segment) {
 	f.clientFinished = f.clientFinished || p.Ends
-	if p.Length > 0 && !f.busy && !f.serverFinished {
+	if p.Length == 0 || p.Length == s.config.FullLength {
+		return
+	}
+	if !f.busy && !f.serverFinished {
 		f.busy = true
 		s.active++
 	}
-	if p.Length > 0 {
-		f.busySince = now
-	}
+	f.busySince = now
 }
 
 func (s *Sidecar) trackResponse(f *flow, p segment.Segment) {
