flow: Search the owner of a flow through the sidecars of its service

Cause: after a change of the rotation, a balancer sent each packet of an unknown flow to all sidecars of the service: 49 copies on a link of 10 Mbit/s. Change: a balancer asks one sidecar, selected by rendezvous hashing; sidecars publish the owners of flows older than 500 ms to two such agents, and an agent without a hint asks its siblings. The agent collects the answers and reports a flow that nobody holds.

--- a/internal/flow/balancer/balancer.go
+++ b/internal/flow/balancer/balancer.go
@@ -5,7 +5,6 @@
 
 import (
 	"net/netip"
-	"slices"
 
 	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/internal/common/identity"
@@ -37,10 +36,6 @@
 	waitPoll clock.Millis = 50
 	// maxFlows bounds the memory: about 200 bytes for each flow.
 	maxFlows = 100_000
-	// broadcastRate is how many packets of unknown flows a balancer may send to
-	// all sidecars in a second, so that a stranger's packets are not multiplied
-	// without limit.
-	broadcastRate = 2000
 )
 
 // Outcome is what became of a packet or flow, for counters and logs.
@@ -52,7 +47,7 @@
 	OutcomeMovedOn
 	OutcomeTimedOut
 	OutcomeForwarded
-	OutcomeBroadcast
+	OutcomeSearched
 	OutcomeReset
 	OutcomeNoRoute
 	OutcomeNoSidecar
@@ -68,7 +63,7 @@
 )
 
 var outcomeNames = [OutcomeCount]string{
-	"placed", "moved-on", "timed-out", "forwarded", "broadcast", "reset", "no-route", "no-sidecar",
+	"placed", "moved-on", "timed-out", "forwarded", "searched", "reset", "no-route", "no-sidecar",
 	"invalid", "limited", "not-held", "claimed", "accepted", "waiting", "lost", "link-full",
 }
 
@@ -122,17 +117,17 @@
 	// waiting are the requests for which no sidecar was there.
 	waiting []*opening
 	// openings are the requests that wait for an answer, in order of their deadlines.
-	openings []attempt
+	openings attempts
 	answers  latency
 	// bulk are the bulk flows that send, at most bulkLimit.
 	bulk      map[segment.Key]struct{}
 	bulkLimit int
 	buffer    []byte
 	swept     clock.Millis
-	// window and broadcasts count the broadcasts of the current second.
-	window     clock.Millis
-	broadcasts int
-	counts     [OutcomeCount]uint64
+	// window and searches count the searches of the current second.
+	window   clock.Millis
+	searches int
+	counts   [OutcomeCount]uint64
 }
 
 // flow is what the balancer remembers of a flow.
@@ -142,10 +137,13 @@
 	seen     clock.Millis
 	accepted bool
 	opening  *opening
-	// absent are the sidecars whose upstreams do not hold the flow, as of the last
-	// packet that was sent to all.
-	absent []netip.AddrPort
-	// acknowledged is the client's position in that packet, which holds data if
+	// searches counts the sidecars that were asked to find the owner, the last one at
+	// searched.
+	searches int
+	searched clock.Millis
+	// absent are the services none of whose upstreams holds the flow.
+	absent []identity.ServiceID
+	// acknowledged is the client's position in the last packet, which holds data if
 	// waiting is set.
 	acknowledged uint32
 	waiting      bool
@@ -202,11 +200,11 @@
 	b.trackBulk(s)
 	if f != nil && f.owner.IsValid() {
 		f.seen = now
-		b.forward(f.owner, relay.KindForward, b.serviceOf(s.Key), false, packet)
+		b.forward(f.owner, relay.KindForward, b.serviceOf(s.Key), packet)
 		b.counts[OutcomeForwarded]++
 		return
 	}
-	b.search(now, s, netip.AddrPort{}, packet)
+	b.search(now, s, packet)
 }
 
 // HandleSidecar handles a message of a sidecar.
@@ -223,10 +221,10 @@
 	case relay.KindClaimed:
 		b.applyLoad(now, from, m.Load)
 		f := b.remember(now, m.Key)
-		f.owner, f.accepted, f.absent = from, true, nil
+		f.owner, f.accepted, f.searches = from, true, 0
 		b.count(Event{Outcome: OutcomeClaimed, Key: m.Key, Sidecar: from})
 	case relay.KindAbsent:
-		b.handleAbsent(from, m.Key)
+		b.handleAbsent(from, m)
 	case relay.KindNotHeld:
 		b.handleNotHeld(now, from, m.Packet)
 	}
@@ -242,69 +240,12 @@
 	b.count(Event{Outcome: OutcomeNotHeld, Key: s.Key, Sidecar: from})
 	if f := b.flows[s.Key]; f != nil {
 		if f.owner.IsValid() && f.owner != from {
-			b.forward(f.owner, relay.KindForward, b.serviceOf(s.Key), false, packet)
+			b.forward(f.owner, relay.KindForward, b.serviceOf(s.Key), packet)
 			return
 		}
 		f.owner = netip.AddrPort{}
 	}
-	b.search(now, s, from, packet)
-}
-
-// search sends a packet to every sidecar that may hold its flow, except the one that
-// has returned it. The one that does claims the flow.
-func (b *Balancer) search(now clock.Millis, s segment.Segment, except netip.AddrPort, packet []byte) {
-	key := s.Key
-	r, ok := b.table.Lookup(key.Service())
-	if !ok {
-		b.count(Event{Outcome: OutcomeNoRoute, Key: key, Version: b.table.Version()})
-		return
-	}
-	if now-b.window >= clock.Second {
-		b.window, b.broadcasts = now, 0
-	}
-	if b.broadcasts >= broadcastRate {
-		b.count(Event{Outcome: OutcomeLimited, Key: key})
-		return
-	}
-	b.broadcasts++
-	f := b.remember(now, key)
-	f.acknowledged, f.waiting, f.absent = s.Acknowledged, s.Length > 0, nil
-	if except.IsValid() {
-		f.absent = append(f.absent, except)
-	}
-	for _, target := range r.Targets {
-		for _, c := range b.services[target.Service] {
-			if c.address != except {
-				b.forward(c.address, relay.KindForward, target.Service, true, packet)
-			}
-		}
-	}
-	b.count(Event{Outcome: OutcomeBroadcast, Key: key, Version: b.table.Version()})
-}
-
-// handleAbsent resets a flow that no upstream holds, so that a client with a request
-// in progress need not wait for its deadline. A flow whose owner does not answer
-// is left alone.
-func (b *Balancer) handleAbsent(from netip.AddrPort, key segment.Key) {
-	f := b.flows[key]
-	if f == nil || f.owner.IsValid() || !f.waiting || slices.Contains(f.absent, from) {
-		return
-	}
-	f.absent = append(f.absent, from)
-	r, ok := b.table.Lookup(key.Service())
-	if !ok || !b.config.Complete() {
-		return
-	}
-	for _, target := range r.Targets {
-		for _, c := range b.services[target.Service] {
-			if !slices.Contains(f.absent, c.address) {
-				return
-			}
-		}
-	}
-	delete(b.flows, key)
-	b.count(Event{Outcome: OutcomeLost, Key: key, Sidecar: from, Version: b.table.Version(), Attempt: len(f.absent)})
-	b.config.ToClient(key.Client().Addr(), b.config.Reset(key, f.acknowledged))
+	b.search(now, s, packet)
 }
 
 func (b *Balancer) serviceOf(key segment.Key) identity.ServiceID {
@@ -336,8 +277,8 @@
 	}
 }
 
-func (b *Balancer) forward(to netip.AddrPort, kind relay.Kind, service identity.ServiceID, broadcast bool, packet []byte) {
-	m := relay.Message{Kind: kind, Service: service, Broadcast: broadcast, Packet: packet}
+func (b *Balancer) forward(to netip.AddrPort, kind relay.Kind, service identity.ServiceID, packet []byte) {
+	m := relay.Message{Kind: kind, Service: service, Packet: packet}
 	data, err := m.Append(b.buffer[:0])
 	if err != nil {
 		b.count(Event{Outcome: OutcomeInvalid})
--- a/internal/flow/balancer/balancer_test.go
+++ b/internal/flow/balancer/balancer_test.go
@@ -27,23 +27,25 @@
 
 // packet returns a packet of the client with data bytes.
 func packet(flags byte, acknowledged uint32, data int) []byte {
-	raw := append(platform.EncodeReset(segment.NewKey(address, client), 7), make([]byte, data)...)
+	return packetFrom(client.Port(), flags, acknowledged, data)
+}
+
+func keyFrom(port uint16) segment.Key {
+	return segment.NewKey(netip.AddrPortFrom(client.Addr(), port), address)
+}
+
+// packetFrom returns a packet from a port of the client.
+func packetFrom(port uint16, flags byte, acknowledged uint32, data int) []byte {
+	from := netip.AddrPortFrom(client.Addr(), port)
+	raw := append(platform.EncodeReset(segment.NewKey(address, from), 7), make([]byte, data)...)
 	raw[0] = flags
 	binary.LittleEndian.PutUint32(raw[8:], acknowledged)
 	binary.LittleEndian.PutUint16(raw[24:], uint16(data))
 	return raw
 }
 
-const toAll = "all "
-
-// searched returns the record of a packet that was sent to all of some sidecars.
-func searched(indexes ...int) []string {
-	var texts []string
-	for _, i := range indexes {
-		texts = append(texts, toAll+sidecars[i].String())
-	}
-	return texts
-}
+// toSearch stands for a packet whose owner is searched by any sidecar.
+const toSearch = "search"
 
 // harness records what a balancer sends.
 type harness struct {
@@ -51,24 +53,27 @@
 	balancer *balancer.Balancer
 	now      clock.Millis
 	complete bool
-	// forwards are the addresses that packets were sent to, and "all " before those
-	// of a packet to all sidecars.
+	// forwards are the addresses that packets were sent to, or toSearch.
 	forwards []string
 	resets   int
 }
 
-func newHarness(t *testing.T) *harness {
+func newHarness(t *testing.T) *harness { return newHarnessWithLink(t, 0) }
+
+// newHarnessWithLink returns a harness whose route is for uploads if the link has a
+// rate.
+func newHarnessWithLink(t *testing.T, rate float64) *harness {
 	h := &harness{c: qt.New(t), now: 10 * clock.Second, complete: true}
 	h.balancer = balancer.New(balancer.Config{
-		DataCentre: "agassiz",
-		Decode:     func(data []byte) (segment.Segment, error) { return platform.DecodeSegment(data, false) },
-		Reset:      platform.EncodeReset,
+		DataCentre: "agassiz", LinkRate: rate,
+		Decode: func(data []byte) (segment.Segment, error) { return platform.DecodeSegment(data, false) },
+		Reset:  platform.EncodeReset,
 		ToSidecar: func(to netip.AddrPort, data []byte) {
 			m, err := relay.Decode(data)
 			h.c.Assert(err, qt.IsNil)
 			text := to.String()
-			if m.Broadcast {
-				text = toAll + text
+			if m.Kind == relay.KindSearch {
+				text = toSearch
 			}
 			h.forwards = append(h.forwards, text)
 		},
@@ -77,7 +82,7 @@
 		Complete: func() bool { return h.complete },
 	})
 	h.balancer.SetTable(route.NewTable(route.Config{Version: 1, Routes: []route.Route{
-		{Address: address, Targets: []route.Target{{Service: portal, Weight: 1}}},
+		{Address: address, Targets: []route.Target{{Service: portal, Weight: 1}}, Bulk: rate > 0},
 	}}))
 	return h
 }
@@ -191,42 +196,79 @@
 	h := newHarness(t)
 	h.reportAll()
 	h.balancer.HandleClient(h.now, packet(ackFlags, 1, 10))
-	h.c.Assert(h.take(), qt.DeepEquals, searched(0, 1, 2))
-	h.answer(relay.KindAbsent, sidecars[0])
+	h.c.Assert(h.take(), qt.DeepEquals, []string{toSearch})
 	h.answer(relay.KindClaimed, sidecars[2])
-	h.answer(relay.KindAbsent, sidecars[1])
+	h.absent(3)
 	h.c.Assert(h.resets, qt.Equals, 0)
 	h.balancer.HandleClient(h.now, packet(ackFlags, 1, 10))
 	h.c.Assert(h.take(), qt.DeepEquals, []string{sidecars[2].String()})
 }
 
+// absent tells the balancer that none of some sidecars holds the flow.
+func (h *harness) absent(asked uint16) {
+	h.balancer.HandleSidecar(h.now, sidecars[0], relay.Message{Kind: relay.KindAbsent, Key: key, Asked: asked})
+}
+
 // Guards against an outdated owner that swallows the packets of a flow.
 func TestReturnedPacketIsSearched(t *testing.T) {
 	h := newHarness(t)
 	h.reportAll()
 	h.answer(relay.KindClaimed, sidecars[0])
 	h.balancer.HandleSidecar(h.now, sidecars[0], relay.Message{Kind: relay.KindNotHeld, Packet: packet(ackFlags, 1, 10)})
-	h.c.Assert(h.take(), qt.DeepEquals, searched(1, 2))
+	h.c.Assert(h.take(), qt.DeepEquals, []string{toSearch})
 }
 
-// Guards against resets of a flow whose owner is silent or not yet known, and
+// Guards against resets of a flow whose owner was not asked or is not yet known, and
 // against clients that wait for a flow that is gone.
 func TestLostFlowIsReset(t *testing.T) {
 	h := newHarness(t)
 	h.reportAll()
-	lose := func(absent ...netip.AddrPort) {
+	lose := func(asked uint16) {
 		h.balancer.HandleClient(h.now, packet(ackFlags, 1, 10))
-		for _, s := range absent {
-			h.answer(relay.KindAbsent, s)
-		}
+		h.absent(asked)
 	}
-	lose(sidecars[0], sidecars[1], sidecars[1])
+	lose(2)
 	h.c.Assert(h.resets, qt.Equals, 0)
 	h.complete = false
-	lose(sidecars...)
+	lose(3)
 	h.c.Assert(h.resets, qt.Equals, 0)
 	h.complete = true
-	lose(sidecars...)
+	lose(3)
+	h.c.Assert(h.resets, qt.Equals, 1)
+}
+
+// Guards against uploads that fill a slow link, so that all other flows wait.
+func TestBulkFlowsWaitForTheLink(t *testing.T) {
+	h := newHarnessWithLink(t, 10)
+	h.reportAll()
+	open := func(port uint16) {
+		h.balancer.HandleClient(h.now, packetFrom(port, openFlags, 0, 0))
+		h.balancer.HandleSidecar(h.now, sidecars[0], relay.Message{Kind: relay.KindAccepted, Key: keyFrom(port)})
+	}
+	for port := range uint16(5) {
+		open(40001 + port)
+		h.balancer.HandleClient(h.now, packetFrom(40001+port, ackFlags, 1, 1000))
+	}
+	h.take()
+	h.balancer.HandleClient(h.now, packetFrom(40009, openFlags, 0, 0))
+	h.c.Assert(h.take(), qt.HasLen, 0)
+	h.balancer.HandleClient(h.now, packetFrom(40001, ackFlags|16, 1, 0))
+	h.take()
+	h.advance(20)
+	h.c.Assert(h.take(), qt.HasLen, 1)
+}
+
+// Guards against an upload that waits for a full link until the client gives up.
+func TestBulkFlowIsRefused(t *testing.T) {
+	h := newHarnessWithLink(t, 1)
+	h.reportAll()
+	h.balancer.HandleClient(h.now, packetFrom(40001, ackFlags, 1, 1000))
+	h.take()
+	h.balancer.HandleClient(h.now, packetFrom(40002, openFlags, 0, 0))
+	for range 10 {
+		h.balancer.HandleClient(h.now, packetFrom(40001, ackFlags, 1, 1000))
+		h.advance(20)
+	}
 	h.c.Assert(h.resets, qt.Equals, 1)
 }
 
@@ -248,9 +290,10 @@
 	for range 3000 {
 		h.balancer.HandleClient(h.now, packet(ackFlags, 1, 0))
 	}
-	h.c.Assert(h.forwards, qt.HasLen, 2000*len(sidecars))
+	h.c.Assert(h.forwards, qt.HasLen, 2000)
 	h.advance(clock.Second)
 	h.take()
+	h.reportAll()
 	h.balancer.HandleClient(h.now, packet(ackFlags, 1, 0))
-	h.c.Assert(h.take(), qt.HasLen, 3)
+	h.c.Assert(h.take(), qt.HasLen, 1)
 }
--- a/internal/flow/balancer/opening.go
+++ b/internal/flow/balancer/opening.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"container/heap"
 	"net/netip"
 	"slices"
 
@@ -36,13 +37,34 @@
 	deadline clock.Millis
 }
 
+// attempts is a heap of attempts in order of their deadlines.
+type attempts []attempt
+
+func (a attempts) Len() int { return len(a) }
+
+func (a attempts) Less(i, j int) bool { return a[i].deadline < a[j].deadline }
+
+func (a attempts) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+
+// Push adds an attempt.
+func (a *attempts) Push(x any) { *a = append(*a, x.(attempt)) }
+
+// Pop removes the last attempt.
+func (a *attempts) Pop() any {
+	last := len(*a) - 1
+	x := (*a)[last]
+	(*a)[last] = attempt{}
+	*a = (*a)[:last]
+	return x
+}
+
 // handleRequest handles a client's request for a new flow.
 func (b *Balancer) handleRequest(now clock.Millis, f *flow, s segment.Segment, packet []byte) {
 	copies := s.Acknowledged
 	if f != nil && copies > 0 && f.accepted {
 		// The upstream repeats its answer, which was lost.
 		f.seen = now
-		b.forward(f.owner, relay.KindForward, b.serviceOf(s.Key), false, packet)
+		b.forward(f.owner, relay.KindForward, b.serviceOf(s.Key), packet)
 		b.counts[OutcomeForwarded]++
 		return
 	}
@@ -77,10 +99,10 @@
 			o.waiting = false
 			o.unanswered++
 			o.deadline = now + b.answers.timeout()
-			b.openings = append(b.openings, attempt{opening: o, deadline: o.deadline})
+			heap.Push(&b.openings, attempt{opening: o, deadline: o.deadline})
 			c.placed++
 			f.owner = c.address
-			b.forward(c.address, relay.KindForward, o.service, false, o.packet)
+			b.forward(c.address, relay.KindForward, o.service, o.packet)
 			b.count(Event{
 				Outcome: outcome, Key: o.key, Sidecar: c.address, Reason: reason,
 				Version: b.table.Version(), Age: now - c.heard, Attempt: len(o.tried),
@@ -114,7 +136,7 @@
 	}
 	o.waiting = true
 	o.deadline = now + bulkPoll
-	b.openings = append(b.openings, attempt{opening: o, deadline: o.deadline})
+	heap.Push(&b.openings, attempt{opening: o, deadline: o.deadline})
 	f.seen = now
 }
 
@@ -134,7 +156,7 @@
 	}
 	o.waiting = true
 	o.deadline = now + waitPoll
-	b.openings = append(b.openings, attempt{opening: o, deadline: o.deadline})
+	heap.Push(&b.openings, attempt{opening: o, deadline: o.deadline})
 }
 
 // resume asks a sidecar for the requests that have waited for one.
@@ -201,8 +223,7 @@
 		if current && a.deadline > now {
 			return
 		}
-		b.openings[0] = attempt{}
-		b.openings = b.openings[1:]
+		heap.Pop(&b.openings)
 		if !current {
 			continue
 		}
--- a/internal/flow/balancer/sidecar.go
+++ b/internal/flow/balancer/sidecar.go
@@ -51,12 +51,15 @@
 }
 
 // usable reports whether the sidecar may get new flows.
-func (c *sidecar) usable(now clock.Millis) bool {
+func (c *sidecar) usable(now clock.Millis) bool { return c.report.Accepting && c.live(now) }
+
+// live reports whether the sidecar has reported lately.
+func (c *sidecar) live(now clock.Millis) bool {
 	interval := c.report.Interval
 	if interval == 0 {
 		interval = defaultInterval
 	}
-	return c.report.Accepting && now-c.heard <= reportsMissed*interval
+	return now-c.heard <= reportsMissed*interval
 }
 
 // full reports whether new flows would wait long for a slot.
@@ -106,6 +109,21 @@
 	}
 }
 
+// Siblings returns the hosts of the sidecars of a service that one of them asks for.
+// It returns false for a sidecar that is not known.
+func (b *Balancer) Siblings(asker netip.AddrPort) ([]netip.Addr, bool) {
+	c := b.sidecars[asker]
+	if c == nil {
+		return nil, false
+	}
+	members := b.services[c.report.Service]
+	hosts := make([]netip.Addr, 0, len(members))
+	for _, member := range members {
+		hosts = append(hosts, member.address.Addr())
+	}
+	return hosts, true
+}
+
 // Sidecars returns the hosts of the sidecars whose upstreams may hold flows.
 func (b *Balancer) Sidecars() []netip.Addr {
 	hosts := make([]netip.Addr, 0, len(b.sidecars))
--- a/internal/flow/node/balancer.go
+++ b/internal/flow/node/balancer.go
@@ -169,12 +169,15 @@
 		n.handleDigest(now, from.Addr(), m.Digest)
 		return
 	}
-	if n.sidecars.Heard(now, from.Addr()) {
+	appeared := n.sidecars.Heard(now, from.Addr())
+	if appeared {
 		n.logger.Info("sidecar-appeared", zap.Stringer("sidecar", from))
 	}
 	n.machine.HandleSidecar(now, from, m)
 	if m.Kind == relay.KindReport && m.Report.Departed {
 		n.sidecars.Remove(from.Addr())
+	} else if appeared {
+		n.digestTo(now, []netip.Addr{from.Addr()}, true)
 	}
 	n.arm(now)
 }
@@ -198,25 +201,36 @@
 
 // digestTo sends hosts what this balancer knows, with or without the lists of hosts.
 func (n *balancerNode) digestTo(now clock.Millis, hosts []netip.Addr, lists bool) {
-	if n.stopping || len(hosts) == 0 {
+	if n.stopping {
 		return
 	}
-	m := relay.Message{Kind: relay.KindDigest, Digest: relay.Digest{Version: n.machine.Table().Version()}}
+	var balancers, sidecars []netip.Addr
 	if lists {
-		balancers, sidecars := n.balancers.Live(now), n.machine.Sidecars()
-		m.Digest.Balancers = balancers[:min(len(balancers), roster.MaxList)]
-		m.Digest.Sidecars = sidecars[:min(len(sidecars), roster.MaxList)]
-	}
-	data, err := m.Append(nil)
-	if err != nil {
-		n.logger.Error("digest-failed", zap.Error(err))
-		return
+		balancers, sidecars = n.balancers.Live(now), n.machine.Sidecars()
 	}
 	for _, host := range hosts {
+		m := relay.Message{Kind: relay.KindDigest, Digest: relay.Digest{Version: n.machine.Table().Version()}}
+		if lists {
+			m.Digest.Balancers = atMost(balancers)
+			siblings, known := n.machine.Siblings(netip.AddrPortFrom(host, n.settings.RelayAddress.Port()))
+			if known {
+				m.Digest.Siblings = atMost(siblings)
+			} else {
+				m.Digest.Sidecars = atMost(sidecars)
+			}
+		}
+		data, err := m.Append(nil)
+		if err != nil {
+			n.logger.Error("digest-failed", zap.Error(err))
+			return
+		}
 		n.relayTo(host, data)
 	}
 }
 
+// atMost returns as many hosts as fit a digest.
+func atMost(hosts []netip.Addr) []netip.Addr { return hosts[:min(len(hosts), roster.MaxList)] }
+
 // complete reports whether every sidecar that may hold flows has reported.
 func (n *balancerNode) complete() bool {
 	now := n.clock.Now()
--- a/internal/flow/node/sidecar.go
+++ b/internal/flow/node/sidecar.go
@@ -41,10 +41,12 @@
 	registration *registration.Registration
 	outbound     *net.UDPConn
 	directory    *directory
-	incarnation  identity.OwnerID
-	contacted    clock.Millis
-	reported     clock.Millis
-	interval     clock.Millis
+	// named are the sidecars of the service that each balancer has named.
+	named       map[netip.Addr][]netip.Addr
+	incarnation identity.OwnerID
+	contacted   clock.Millis
+	reported    clock.Millis
+	interval    clock.Millis
 	// learnUntil is when every flow that the upstream could hold unseen has ended.
 	learnUntil clock.Millis
 	// born is the start of the upstream whose flows the machine holds.
@@ -63,7 +65,7 @@
 	}
 	defer b.close()
 	n := &sidecarNode{
-		base: b, own: s, incarnation: identity.NewOwnerID(),
+		base: b, own: s, incarnation: identity.NewOwnerID(), named: map[netip.Addr][]netip.Addr{},
 		registration: registration.New(registration.Config{Address: s.UpstreamAddress, Service: s.Service}),
 	}
 	if n.outbound, err = listenUDP("outbound-address", s.OutboundAddress); err != nil {
@@ -74,7 +76,8 @@
 		Decode: platform.DecodeSegment, ClearReturned: platform.ClearReturned,
 		ToUpstream: func(packet []byte) { b.send(n.outbound, n.own.UpstreamAddress, packet) },
 		ToClient:   b.toClient,
-		ToBalancer: func(to netip.AddrPort, data []byte) { b.send(b.relay, to, data) },
+		Self:       s.RelayAddress,
+		ToPeer:     func(to netip.AddrPort, data []byte) { b.send(b.relay, to, data) },
 		FullLength: platform.MaxData,
 		Observe:    n.observe,
 	})
@@ -131,8 +134,8 @@
 	defer n.mutex.Unlock()
 	now := n.clock.Now()
 	switch m.Kind {
-	case relay.KindForward:
-		n.machine.HandleForward(now, from, m)
+	default:
+		n.machine.HandleMessage(now, from, m)
 	case relay.KindDigest:
 		appeared := n.balancers.Heard(now, from.Addr())
 		if appeared {
@@ -140,6 +143,7 @@
 			n.reportTo([]netip.Addr{from.Addr()})
 		}
 		n.learn(now, platform.Hosts{platform.Balancers: m.Digest.Balancers})
+		n.learnSiblings(now, from.Addr(), m.Digest.Siblings)
 	}
 }
 
@@ -219,6 +223,26 @@
 	n.reportTo(n.balancers.Learned(now, hosts[platform.Balancers]))
 }
 
+// learnSiblings records the sidecars of the service that a balancer names. Balancers
+// may know different ones, so that all that were named lately count.
+func (n *sidecarNode) learnSiblings(now clock.Millis, from netip.Addr, hosts []netip.Addr) {
+	if len(hosts) == 0 {
+		return
+	}
+	n.named[from] = hosts
+	var siblings []netip.AddrPort
+	for balancer, hosts := range n.named {
+		if !n.balancers.IsLive(now, balancer) {
+			delete(n.named, balancer)
+			continue
+		}
+		for _, host := range hosts {
+			siblings = append(siblings, netip.AddrPortFrom(host, n.settings.RelayAddress.Port()))
+		}
+	}
+	n.machine.SetSiblings(siblings)
+}
+
 // sendReports tells balancers the state of the upstream.
 func (n *sidecarNode) sendReports(context.Context) {
 	n.mutex.Lock()
--- a/internal/flow/relay/message.go
+++ b/internal/flow/relay/message.go
@@ -29,9 +29,13 @@
 	KindClaimed
 	// KindNotHeld returns a packet of a flow that the upstream does not hold.
 	KindNotHeld
-	// KindAbsent tells that the upstream does not hold the flow of a packet that all
-	// sidecars of the service got.
+	// KindAbsent tells a sidecar that the upstream does not hold a flow, or a balancer
+	// that no upstream of the service does.
 	KindAbsent
+	// KindSearch asks a sidecar to find the owner of a packet's flow.
+	KindSearch
+	// KindHint tells a sidecar flows that the sender's upstream holds.
+	KindHint
 	// KindReport carries the state of a sidecar to a balancer.
 	KindReport
 	// KindDigest carries what a balancer knows to other processes.
@@ -101,21 +105,27 @@
 	// Version is that of the configuration in effect; 0 means none.
 	Version uint64 `json:"version"`
 	// Balancers are hosts that the sender hears, Sidecars those whose upstreams may
-	// hold flows.
+	// hold flows, and Siblings those of the receiver's service.
 	Balancers []netip.Addr `json:"balancers,omitempty"`
 	Sidecars  []netip.Addr `json:"sidecars,omitempty"`
+	Siblings  []netip.Addr `json:"siblings,omitempty"`
 }
 
 // Message is one datagram. Which fields are set follows from Kind.
 type Message struct {
 	Kind Kind
-	// Broadcast tells that every sidecar of the service gets the packet.
-	Broadcast bool
+	// Asker is the balancer that searches the owner of the packet's flow. It is not
+	// valid for a packet that is sent to its owner.
+	Asker netip.AddrPort
 	// Service is the service that the packet may enter.
 	Service identity.ServiceID
 	Reason  Reason
 	Key     segment.Key
 	Load    Load
+	// Asked is the number of sidecars that an absence stands for.
+	Asked uint16
+	// Keys are the flows of a hint.
+	Keys []segment.Key
 	// Packet is the client's packet, a part of the decoded datagram.
 	Packet []byte
 	Report Report
@@ -123,9 +133,11 @@
 }
 
 const (
-	forwardHead   = 2 + identity.ServiceIDSize
-	answerSize    = 2 + 4 + segment.KeySize
-	flagBroadcast = 1
+	addressSize = 6
+	forwardHead = 1 + identity.ServiceIDSize + addressSize
+	answerSize  = 2 + 4 + 2 + segment.KeySize
+	// MaxHint is the number of flows in one hint.
+	MaxHint = 80
 )
 
 var errMessage = errors.New("relay: datagram is not a message of this protocol")
@@ -133,18 +145,23 @@
 // Append appends the encoded message to b.
 func (m *Message) Append(b []byte) ([]byte, error) {
 	switch m.Kind {
-	case KindForward, KindNotHeld:
+	case KindForward, KindNotHeld, KindSearch:
 		var head [forwardHead]byte
 		head[0] = byte(m.Kind)
-		if m.Broadcast {
-			head[1] = flagBroadcast
-		}
-		identity.PutUint40(head[2:], uint64(m.Service))
+		identity.PutUint40(head[1:], uint64(m.Service))
+		putAddress(head[1+identity.ServiceIDSize:], m.Asker)
 		return append(append(b, head[:]...), m.Packet...), nil
+	case KindHint:
+		b = append(b, byte(m.Kind))
+		for _, key := range m.Keys {
+			b = key.Append(b)
+		}
+		return b, nil
 	case KindAccepted, KindRefused, KindClaimed, KindAbsent:
 		b = append(b, byte(m.Kind), byte(m.Reason))
 		b = binary.BigEndian.AppendUint16(b, m.Load.Active)
 		b = binary.BigEndian.AppendUint16(b, m.Load.Flows)
+		b = binary.BigEndian.AppendUint16(b, m.Asked)
 		return m.Key.Append(b), nil
 	case KindReport:
 		return m.Report.append(b), nil
@@ -155,6 +172,23 @@
 	}
 }
 
+// putAddress writes an IPv4 address, or zeros if it is not valid.
+func putAddress(b []byte, a netip.AddrPort) {
+	if a.IsValid() {
+		octets := a.Addr().As4()
+		copy(b, octets[:])
+		binary.BigEndian.PutUint16(b[4:], a.Port())
+	}
+}
+
+func getAddress(b []byte) netip.AddrPort {
+	port := binary.BigEndian.Uint16(b[4:])
+	if port == 0 {
+		return netip.AddrPort{}
+	}
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[:4])), port)
+}
+
 func appendJSON(b []byte, kind Kind, body any) ([]byte, error) {
 	data, err := json.Marshal(body)
 	if err != nil {
@@ -170,14 +204,23 @@
 	}
 	m := Message{Kind: Kind(data[0])}
 	switch m.Kind {
-	case KindForward, KindNotHeld:
+	case KindForward, KindNotHeld, KindSearch:
 		if len(data) < forwardHead {
 			return Message{}, errMessage
 		}
-		m.Broadcast = data[1]&flagBroadcast != 0
-		m.Service = identity.ServiceID(identity.GetUint40(data[2:]))
+		m.Service = identity.ServiceID(identity.GetUint40(data[1:]))
+		m.Asker = getAddress(data[1+identity.ServiceIDSize:])
 		m.Packet = data[forwardHead:]
 		return m, nil
+	case KindHint:
+		if (len(data)-1)%segment.KeySize != 0 || len(data) > 1+MaxHint*segment.KeySize {
+			return Message{}, errMessage
+		}
+		for rest := data[1:]; len(rest) > 0; rest = rest[segment.KeySize:] {
+			key, _ := segment.DecodeKey(rest)
+			m.Keys = append(m.Keys, key)
+		}
+		return m, nil
 	case KindAccepted, KindRefused, KindClaimed, KindAbsent:
 		if len(data) != answerSize {
 			return Message{}, errMessage
@@ -185,7 +228,8 @@
 		m.Reason = Reason(data[1])
 		m.Load.Active = binary.BigEndian.Uint16(data[2:])
 		m.Load.Flows = binary.BigEndian.Uint16(data[4:])
-		m.Key, _ = segment.DecodeKey(data[6:])
+		m.Asked = binary.BigEndian.Uint16(data[6:])
+		m.Key, _ = segment.DecodeKey(data[8:])
 		return m, nil
 	case KindReport:
 		var err error
--- a/internal/flow/relay/message_test.go
+++ b/internal/flow/relay/message_test.go
@@ -17,7 +17,10 @@
 	c := qt.New(t)
 	service := identity.NewServiceID("", "portal")
 	for _, m := range []relay.Message{
-		{Kind: relay.KindForward, Broadcast: true, Service: service, Packet: []byte{1, 2, 3}},
+		{Kind: relay.KindForward, Asker: netip.MustParseAddrPort("10.1.0.1:7000"), Service: service, Packet: []byte{1, 2, 3}},
+		{Kind: relay.KindSearch, Service: service, Packet: []byte{1}},
+		{Kind: relay.KindHint, Keys: []segment.Key{key, key}},
+		{Kind: relay.KindAbsent, Key: key, Asked: 48},
 		{Kind: relay.KindNotHeld, Packet: []byte{4}},
 		{Kind: relay.KindRefused, Reason: relay.ReasonDraining, Key: key, Load: relay.Load{Active: 7, Flows: 300}},
 		{Kind: relay.KindClaimed, Key: key},
@@ -38,6 +41,7 @@
 		c.Assert(again, qt.DeepEquals, data)
 		c.Assert(decoded.Key, qt.Equals, m.Key)
 		c.Assert(decoded.Load, qt.Equals, m.Load)
+		c.Assert(decoded.Asked, qt.Equals, m.Asked)
 		c.Assert(decoded.Report, qt.Equals, m.Report)
 	}
 }
--- a/internal/flow/sidecar/sidecar.go
+++ b/internal/flow/sidecar/sidecar.go
@@ -9,6 +9,7 @@
 
 	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/internal/common/identity"
+	"github.com/orioledyke/orioledyke/internal/flow/agent"
 	"github.com/orioledyke/orioledyke/internal/flow/relay"
 	"github.com/orioledyke/orioledyke/internal/flow/segment"
 )
@@ -44,11 +45,12 @@
 	OutcomeReturned
 	OutcomeLost
 	OutcomeInvalid
+	OutcomeSearched
 	OutcomeCount
 )
 
 var outcomeNames = [OutcomeCount]string{
-	"offered", "delivered", "refused", "not-held", "probed", "replied", "accepted", "returned", "lost", "invalid",
+	"offered", "delivered", "refused", "not-held", "probed", "replied", "accepted", "returned", "lost", "invalid", "searched",
 }
 
 // String returns the name of the outcome in metrics and logs.
@@ -66,15 +68,17 @@
 // Config configures a Sidecar. Every function is called during calls of the
 // Sidecar and must not call it back.
 type Config struct {
+	// Self is the address of this sidecar for other processes.
+	Self netip.AddrPort
 	// Decode reads a packet of a client or of the upstream.
 	Decode func(packet []byte, fromUpstream bool) (segment.Segment, error)
 	// ClearReturned removes the mark of a returned packet.
 	ClearReturned func(packet []byte)
-	// ToUpstream, ToClient and ToBalancer send a datagram, which is valid during
-	// the call only.
+	// ToUpstream, ToClient and ToPeer send a datagram, which is valid during the call
+	// only. Peers are balancers and sidecars.
 	ToUpstream func(packet []byte)
 	ToClient   func(to netip.Addr, packet []byte)
-	ToBalancer func(to netip.AddrPort, data []byte)
+	ToPeer     func(to netip.AddrPort, data []byte)
 	// FullLength is the data of a full packet in bytes.
 	FullLength int
 	// Observe receives decisions about flows. Nil means nothing.
@@ -94,6 +98,7 @@
 	flows    map[segment.Key]*flow
 	active   int
 	open     int
+	search   search
 	buffer   []byte
 	swept    clock.Millis
 	counts   [OutcomeCount]uint64
@@ -102,10 +107,14 @@
 // flow is one flow of the upstream, or one that was offered to it.
 type flow struct {
 	state state
-	// asker is the balancer that sent the last packet that needs an answer.
+	// asker is the balancer that gets the answer to the last packet.
 	asker netip.AddrPort
-	// broadcast tells that the last packet went to all sidecars of the service.
-	broadcast bool
+	// agent is the sidecar that searches the owner of the flow for the asker. It is
+	// not valid for a packet that the asker sent here itself.
+	agent netip.AddrPort
+	// opened is the time of the first packet, and agents know this owner.
+	opened clock.Millis
+	agents agent.Selection
 	// first is the position of the upstream's first byte.
 	first          uint32
 	seen           clock.Millis
@@ -138,7 +147,10 @@
 	if config.Observe == nil {
 		config.Observe = func(Event) {}
 	}
-	return &Sidecar{config: config, refusal: relay.ReasonUnregistered, flows: map[segment.Key]*flow{}}
+	return &Sidecar{
+		config: config, refusal: relay.ReasonUnregistered, flows: map[segment.Key]*flow{},
+		search: newSearch(),
+	}
 }
 
 // Serve offers flows of a service to the upstream.
@@ -171,8 +183,22 @@
 // Count returns how often an outcome occurred.
 func (s *Sidecar) Count(o Outcome) uint64 { return s.counts[o] }
 
-// HandleForward handles a client's packet that a balancer sent.
-func (s *Sidecar) HandleForward(now clock.Millis, from netip.AddrPort, m relay.Message) {
+// HandleMessage handles a message of a balancer or sidecar.
+func (s *Sidecar) HandleMessage(now clock.Millis, from netip.AddrPort, m relay.Message) {
+	switch m.Kind {
+	case relay.KindForward:
+		s.handleForward(now, from, m)
+	case relay.KindSearch:
+		s.handleSearch(now, from, m)
+	case relay.KindAbsent:
+		s.handleAbsent(now, from, m.Key)
+	case relay.KindHint:
+		s.handleHint(now, from, m.Keys)
+	}
+}
+
+// handleForward handles a client's packet.
+func (s *Sidecar) handleForward(now clock.Millis, from netip.AddrPort, m relay.Message) {
 	p, err := s.config.Decode(m.Packet, false)
 	if err != nil || p.Returned {
 		s.count(Event{Outcome: OutcomeInvalid, Balancer: from})
@@ -188,16 +214,25 @@
 		return
 	}
 	f.seen = now
-	f.asker, f.broadcast = from, m.Broadcast
+	f.asker, f.agent = origin(from, m.Asker)
 	if f.state == stateAccepted {
 		f.state = stateOpen
 	}
 	s.trackRequest(now, f, p)
 	s.counts[OutcomeDelivered]++
 	s.config.ToUpstream(m.Packet)
-	if m.Broadcast && f.state == stateOpen {
-		s.answer(from, relay.KindClaimed, 0, p.Key)
+	if f.agent.IsValid() && f.state == stateOpen {
+		s.answer(f.asker, relay.KindClaimed, 0, p.Key)
+	}
+}
+
+// origin returns the balancer that a packet comes from, and the sidecar that searches
+// its owner if there is one.
+func origin(from, asker netip.AddrPort) (balancer, agent netip.AddrPort) {
+	if asker.IsValid() {
+		return asker, from
 	}
+	return from, netip.AddrPort{}
 }
 
 // opens reports whether a client's packet acknowledges this upstream's answer and
@@ -226,11 +261,10 @@
 		}
 	}
 	if f == nil {
-		f = &flow{}
-		s.flows[p.Key] = f
-		s.open++
+		f = s.add(now, p.Key, stateOffered)
 	}
-	f.asker, f.seen = from, now
+	f.asker, f.agent = from, netip.AddrPort{}
+	f.seen = now
 	s.count(Event{Outcome: OutcomeOffered, Key: p.Key, Balancer: from, Load: s.Load()})
 	s.config.ToUpstream(m.Packet)
 }
@@ -239,25 +273,37 @@
 // upstream's.
 func (s *Sidecar) handleUnknown(now clock.Millis, from netip.AddrPort, m relay.Message, f *flow, p segment.Segment) {
 	if s.learning && f == nil {
-		s.flows[p.Key] = &flow{state: stateProbed, asker: from, broadcast: m.Broadcast, seen: now}
-		s.open++
-		s.count(Event{Outcome: OutcomeProbed, Key: p.Key, Balancer: from})
+		f = s.add(now, p.Key, stateProbed)
+		f.asker, f.agent = origin(from, m.Asker)
+		s.count(Event{Outcome: OutcomeProbed, Key: p.Key, Balancer: f.asker})
 		s.config.ToUpstream(m.Packet)
 		return
 	}
-	s.returnPacket(from, m.Broadcast, p.Key, m.Packet)
+	asker, agent := origin(from, m.Asker)
+	s.returnPacket(now, asker, agent, p.Key, m.Packet)
 }
 
-// returnPacket sends a packet back to the balancer, or only says that its flow is
-// not here if all other sidecars have the packet already.
-func (s *Sidecar) returnPacket(to netip.AddrPort, broadcast bool, key segment.Key, packet []byte) {
+// returnPacket sends a packet back to its balancer, or only tells the searching
+// sidecar that its flow is not here.
+func (s *Sidecar) returnPacket(now clock.Millis, asker, agent netip.AddrPort, key segment.Key, packet []byte) {
 	s.counts[OutcomeNotHeld]++
-	if broadcast {
-		s.answer(to, relay.KindAbsent, 0, key)
-		return
+	switch {
+	case agent == s.config.Self && agent.IsValid():
+		s.handleAbsent(now, agent, key)
+	case agent.IsValid():
+		s.answer(agent, relay.KindAbsent, 0, key)
+	default:
+		s.config.Observe(Event{Outcome: OutcomeNotHeld, Key: key, Balancer: asker})
+		s.send(asker, relay.Message{Kind: relay.KindNotHeld, Packet: packet})
 	}
-	s.config.Observe(Event{Outcome: OutcomeNotHeld, Key: key, Balancer: to})
-	s.send(to, relay.Message{Kind: relay.KindNotHeld, Packet: packet})
+}
+
+// add makes the entry of a flow.
+func (s *Sidecar) add(now clock.Millis, key segment.Key, state state) *flow {
+	f := &flow{state: state, opened: now, seen: now}
+	s.flows[key] = f
+	s.open++
+	return f
 }
 
 // HandleUpstream handles a packet that the upstream sent or returned.
@@ -268,21 +314,20 @@
 		return
 	}
 	if p.Returned {
-		s.handleReturned(p, packet)
+		s.handleReturned(now, p, packet)
 		return
 	}
 	f := s.flows[p.Key]
 	if f == nil {
-		f = &flow{state: stateOpen}
-		s.flows[p.Key] = f
-		s.open++
+		f = s.add(now, p.Key, stateOpen)
 	}
 	f.seen = now
 	switch {
 	case p.Resets && !s.mayReset(f):
 		s.remove(p.Key, f)
-		s.counts[OutcomeNotHeld]++
-		s.answer(f.asker, relay.KindAbsent, 0, p.Key)
+		if f.agent.IsValid() {
+			s.returnPacket(now, f.asker, f.agent, p.Key, nil)
+		}
 		return
 	case p.Accepts():
 		s.handleAccepted(f, p)
@@ -302,7 +347,7 @@
 // was only asked, or that the client has not chosen, must not reset the flow of
 // another one.
 func (s *Sidecar) mayReset(f *flow) bool {
-	return f.state == stateOpen || (f.state == stateProbed && !f.broadcast)
+	return f.state == stateOpen || (f.state == stateProbed && !f.agent.IsValid())
 }
 
 func (s *Sidecar) handleAccepted(f *flow, p segment.Segment) {
@@ -317,7 +362,7 @@
 }
 
 // handleReturned handles a packet that the upstream has not accepted.
-func (s *Sidecar) handleReturned(p segment.Segment, packet []byte) {
+func (s *Sidecar) handleReturned(now clock.Millis, p segment.Segment, packet []byte) {
 	f := s.flows[p.Key]
 	if f == nil {
 		s.counts[OutcomeReturned]++
@@ -338,7 +383,7 @@
 	}
 	if f.asker.IsValid() {
 		s.config.ClearReturned(packet)
-		s.returnPacket(f.asker, f.broadcast, p.Key, packet)
+		s.returnPacket(now, f.asker, f.agent, p.Key, packet)
 	}
 }
 
@@ -377,10 +422,12 @@
 
 // Tick forgets flows that have ended.
 func (s *Sidecar) Tick(now clock.Millis) {
+	s.publish(now)
 	if now-s.swept < clock.Second {
 		return
 	}
 	s.swept = now
+	s.search.expire(now)
 	for key, f := range s.flows {
 		idle := now - f.seen
 		if f.busy && now-f.busySince > requestLife {
@@ -404,7 +451,7 @@
 		return
 	}
 	s.buffer = data
-	s.config.ToBalancer(to, data)
+	s.config.ToPeer(to, data)
 }
 
 func (s *Sidecar) count(e Event) {
--- a/internal/flow/sidecar/sidecar_test.go
+++ b/internal/flow/sidecar/sidecar_test.go
@@ -19,6 +19,9 @@
 	key      = segment.NewKey(client, service)
 	balancer = netip.MustParseAddrPort("10.1.0.1:7000")
 	other    = netip.MustParseAddrPort("10.1.0.2:7000")
+	self     = netip.MustParseAddrPort("10.1.0.11:7000")
+	sibling  = netip.MustParseAddrPort("10.1.0.12:7000")
+	third    = netip.MustParseAddrPort("10.1.0.13:7000")
 	portal   = platform.ServiceID("portal")
 )
 
@@ -52,6 +55,7 @@
 	toUpstream int
 	toClient   int
 	answers    []relay.Message
+	receivers  []netip.AddrPort
 }
 
 func newHarness(t *testing.T) *harness {
@@ -60,17 +64,34 @@
 		Decode: platform.DecodeSegment, ClearReturned: platform.ClearReturned,
 		ToUpstream: func([]byte) { h.toUpstream++ },
 		ToClient:   func(netip.Addr, []byte) { h.toClient++ },
-		ToBalancer: func(_ netip.AddrPort, data []byte) {
+		Self:       self,
+		ToPeer: func(to netip.AddrPort, data []byte) {
 			m, err := relay.Decode(append([]byte(nil), data...))
 			h.c.Assert(err, qt.IsNil)
 			h.answers = append(h.answers, m)
+			h.receivers = append(h.receivers, to)
 		},
 	})
 	return h
 }
 
-func (h *harness) forward(from netip.AddrPort, broadcast bool, raw []byte) {
-	h.sidecar.HandleForward(h.now, from, relay.Message{Kind: relay.KindForward, Service: portal, Broadcast: broadcast, Packet: raw})
+// forward gives the sidecar a packet of a balancer, or of a sibling that searches the
+// owner for the balancer.
+func (h *harness) forward(from netip.AddrPort, searched bool, raw []byte) {
+	m := relay.Message{Kind: relay.KindForward, Service: portal, Packet: raw}
+	if searched {
+		m.Asker, from = from, sibling
+	}
+	h.sidecar.HandleMessage(h.now, from, m)
+}
+
+// search asks the sidecar to find the owner of a packet's flow.
+func (h *harness) search(raw []byte) {
+	h.sidecar.HandleMessage(h.now, balancer, relay.Message{Kind: relay.KindSearch, Service: portal, Packet: raw})
+}
+
+func (h *harness) absent(from netip.AddrPort) {
+	h.sidecar.HandleMessage(h.now, from, relay.Message{Kind: relay.KindAbsent, Key: key})
 }
 
 // last returns the kind of the last answer and forgets all.
@@ -79,7 +100,7 @@
 		return 0
 	}
 	m := h.answers[len(h.answers)-1]
-	h.answers = nil
+	h.answers, h.receivers = nil, nil
 	return m.Kind
 }
 
@@ -208,3 +229,71 @@
 	h.c.Assert(h.last(), qt.Equals, relay.KindRefused)
 	h.c.Assert(h.sidecar.Load(), qt.Equals, relay.Load{})
 }
+
+// Guards against a search that leaves out an upstream, and against a balancer that is
+// told too early that no upstream holds a flow.
+func TestSearchAmongAll(t *testing.T) {
+	h := newHarness(t)
+	h.sidecar.Serve(portal)
+	h.sidecar.SetSiblings([]netip.AddrPort{third, self, sibling, third})
+	h.search(packet(true, acks, 2, 501, 100))
+	h.c.Assert(h.answers, qt.HasLen, 2)
+	for i, to := range []netip.AddrPort{sibling, third} {
+		h.c.Assert(h.receivers[i], qt.Equals, to)
+		h.c.Assert(h.answers[i].Kind, qt.Equals, relay.KindForward)
+		h.c.Assert(h.answers[i].Asker, qt.Equals, balancer)
+	}
+	h.last()
+	h.absent(third)
+	h.absent(third)
+	h.c.Assert(h.answers, qt.HasLen, 0)
+	h.absent(sibling)
+	h.c.Assert(h.answers, qt.HasLen, 1)
+	h.c.Assert(h.answers[0].Asked, qt.Equals, uint16(3))
+	h.c.Assert(h.receivers[0], qt.Equals, balancer)
+	h.c.Assert(h.last(), qt.Equals, relay.KindAbsent)
+}
+
+// Guards against a search among all when the owner is known, and against a hint that
+// is out of date.
+func TestSearchByHint(t *testing.T) {
+	h := newHarness(t)
+	h.sidecar.Serve(portal)
+	h.sidecar.SetSiblings([]netip.AddrPort{sibling, third})
+	h.sidecar.HandleMessage(h.now, third, relay.Message{Kind: relay.KindHint, Keys: []segment.Key{key}})
+	h.search(packet(true, acks, 2, 501, 100))
+	h.c.Assert(h.answers, qt.HasLen, 1)
+	h.c.Assert(h.receivers[0], qt.Equals, third)
+	h.last()
+	h.absent(third)
+	h.c.Assert(h.answers, qt.HasLen, 2)
+}
+
+// Guards against a flow that its own sidecar searches elsewhere.
+func TestSearchFindsOwnFlow(t *testing.T) {
+	h := newHarness(t)
+	h.sidecar.SetSiblings([]netip.AddrPort{sibling, third})
+	h.open()
+	h.search(packet(true, acks, 102, 501, 100))
+	h.c.Assert(h.answers, qt.HasLen, 1)
+	h.c.Assert(h.receivers[0], qt.Equals, balancer)
+	h.c.Assert(h.last(), qt.Equals, relay.KindClaimed)
+}
+
+// Guards against agents that do not learn the owner of a long flow, and against hints
+// for each short one.
+func TestLongFlowsArePublished(t *testing.T) {
+	h := newHarness(t)
+	h.sidecar.SetSiblings([]netip.AddrPort{sibling, third})
+	h.open()
+	h.sidecar.Tick(h.now)
+	h.c.Assert(h.answers, qt.HasLen, 0)
+	h.now += 500
+	h.sidecar.Tick(h.now)
+	sent := len(h.answers)
+	h.c.Assert(sent == 1 || sent == 2, qt.IsTrue)
+	h.c.Assert(h.last(), qt.Equals, relay.KindHint)
+	h.now += 500
+	h.sidecar.Tick(h.now)
+	h.c.Assert(h.answers, qt.HasLen, 0)
+}
--- a/internal/standin/fleet/balancer.go
+++ b/internal/standin/fleet/balancer.go
@@ -127,7 +127,7 @@
 	}
 	for _, u := range b.world.upstreams {
 		if u.address == to && !u.removed {
-			u.receive(func() { u.machine.HandleForward(b.world.now, b.address, m) })
+			u.receive(func() { u.machine.HandleMessage(b.world.now, b.address, m) })
 		}
 	}
 }
--- a/internal/standin/fleet/upstream.go
+++ b/internal/standin/fleet/upstream.go
@@ -94,8 +94,9 @@
 				u.world.after(0, func() { u.handle(h, raw) })
 			}
 		},
-		ToClient:   func(_ netip.Addr, packet []byte) { u.world.toClient(append([]byte(nil), packet...)) },
-		ToBalancer: u.toBalancer,
+		ToClient: func(_ netip.Addr, packet []byte) { u.world.toClient(append([]byte(nil), packet...)) },
+		Self:     u.address,
+		ToPeer:   u.toPeer,
 	})
 	u.machine.SetLearning(true)
 	u.report(u.run)
@@ -111,12 +112,17 @@
 	})
 }
 
-func (u *upstreamHost) toBalancer(to netip.AddrPort, data []byte) {
+func (u *upstreamHost) toPeer(to netip.AddrPort, data []byte) {
 	m, err := relay.Decode(append([]byte(nil), data...))
 	if err != nil {
 		u.world.fault("sidecar %d sent an unreadable message: %v", u.index, err)
 		return
 	}
+	for _, sibling := range u.world.upstreams {
+		if sibling.address == to {
+			sibling.receive(func() { sibling.machine.HandleMessage(u.world.now, u.address, m) })
+		}
+	}
 	for _, b := range u.world.balancers {
 		if b.address == to {
 			b.receive(func() {
@@ -133,6 +139,7 @@
 		return
 	}
 	u.machine.Tick(u.world.now)
+	u.learnSiblings()
 	if u.born != 0 && u.world.now > u.learnUntil {
 		u.machine.SetLearning(false)
 	}
@@ -146,11 +153,22 @@
 		return
 	}
 	for _, b := range u.world.balancers {
-		u.toBalancer(b.address, data)
+		u.toPeer(b.address, data)
 	}
 	u.world.after(reportInterval, func() { u.report(run) })
 }
 
+// learnSiblings tells the sidecar the others of its service, as balancers would.
+func (u *upstreamHost) learnSiblings() {
+	var siblings []netip.AddrPort
+	for _, other := range u.world.upstreams {
+		if other.service == u.service && !other.removed {
+			siblings = append(siblings, other.address)
+		}
+	}
+	u.machine.SetSiblings(siblings)
+}
+
 // beat sends a heartbeat of an incarnation, and the next one later.
 func (u *upstreamHost) beat(born int64) {
 	if !u.alive || u.bornAt != born {
