sidecar: Answer searches although the upstream does not run

Cause: a sidecar whose upstream had not started gave it the packet of a search and never answered, so that no lost flow of the service was reset while a release was under way (found by the new event flow-unanswered). Change: an upstream without heartbeats for three intervals holds no unknown flow; a probed flow is forgotten then; an upstream that leaves new flows unanswered gets only trials. Red: TestProbedFlowIsForgotten, green with the change.

--- a/internal/common/settings/flow.go
+++ b/internal/common/settings/flow.go
@@ -62,6 +62,8 @@
 	Service string `yaml:"service" rule:"label,required"`
 	// UpstreamAddress is where the upstream receives packets.
 	UpstreamAddress netip.AddrPort `yaml:"upstream-address" rule:"reachable,required"`
+	// HeartbeatInterval is the time between two heartbeats of the upstream.
+	HeartbeatInterval time.Duration `yaml:"heartbeat-interval" rule:"positive,required"`
 	// OutboundAddress is where the upstream sends its packets.
 	OutboundAddress netip.AddrPort `yaml:"outbound-address" rule:"address,required"`
 	// ControlAddress is where the upstream sends its heartbeats.
--- a/internal/flow/balancer/balancer.go
+++ b/internal/flow/balancer/balancer.go
@@ -59,12 +59,13 @@
 	OutcomeWaiting
 	OutcomeLost
 	OutcomeLinkFull
+	OutcomeUnresolved
 	OutcomeCount
 )
 
 var outcomeNames = [OutcomeCount]string{
 	"placed", "moved-on", "timed-out", "forwarded", "searched", "reset", "no-route", "no-sidecar",
-	"invalid", "limited", "not-held", "claimed", "accepted", "waiting", "lost", "link-full",
+	"invalid", "limited", "not-held", "claimed", "accepted", "waiting", "lost", "link-full", "unresolved",
 }
 
 // String returns the name of the outcome in metrics and logs.
--- a/internal/flow/balancer/search.go
+++ b/internal/flow/balancer/search.go
@@ -77,10 +77,11 @@
 // was not asked is left alone.
 func (b *Balancer) handleAbsent(from netip.AddrPort, m relay.Message) {
 	f, c := b.flows[m.Key], b.sidecars[from]
-	if f == nil || c == nil || f.owner.IsValid() || !f.waiting || !b.config.Complete() {
+	if f == nil || c == nil || f.owner.IsValid() || !f.waiting {
 		return
 	}
-	if int(m.Asked) < len(b.services[c.report.Service]) {
+	if int(m.Asked) < len(b.services[c.report.Service]) || !b.config.Complete() {
+		b.count(Event{Outcome: OutcomeUnresolved, Key: m.Key, Sidecar: from, Attempt: int(m.Asked)})
 		return
 	}
 	f.absent = append(f.absent, c.report.Service)
--- a/internal/flow/node/metrics.go
+++ b/internal/flow/node/metrics.go
@@ -70,5 +70,5 @@
 		return
 	}
 	n.logger.Info("flow-"+e.Outcome.String(), zap.Stringer("flow", e.Key), zap.Stringer("balancer", e.Balancer),
-		zap.String("reason", e.Reason.String()), zap.Uint16("active", e.Load.Active), zap.Uint16("flows", e.Load.Flows))
+		zap.Stringer("sibling", e.Sibling), zap.String("reason", e.Reason.String()), zap.Uint16("active", e.Load.Active), zap.Uint16("flows", e.Load.Flows))
 }
--- a/internal/flow/node/sidecar.go
+++ b/internal/flow/node/sidecar.go
@@ -28,6 +28,9 @@
 	// freshSequence is the highest number of a first heartbeat that shows that the
 	// upstream has started with this process, so that it holds no unknown flow.
 	freshSequence = 2
+	// heartbeatsMissed is how many heartbeats may be missing before the upstream gets
+	// no new flows. They come from the same host, so that few are lost.
+	heartbeatsMissed = 3
 	// finishTime is how long a stopping sidecar stays without a request in
 	// progress.
 	finishTime clock.Millis = 300
@@ -252,6 +255,7 @@
 	if n.id != "" && now > n.learnUntil {
 		n.machine.SetLearning(false)
 	}
+	n.checkSilence(now)
 	if now-n.contacted >= contactInterval {
 		n.contactSilent(now)
 	}
@@ -263,6 +267,22 @@
 	}
 }
 
+// checkSilence stops new flows for an upstream whose heartbeats are missing. One that
+// has sent none since the start of this process holds no flow.
+func (n *sidecarNode) checkSilence(now clock.Millis) {
+	limit := heartbeatsMissed * clock.FromDuration(n.own.HeartbeatInterval)
+	_, known := n.registration.Current()
+	switch {
+	case !known && now-n.started > limit:
+		n.machine.SetLearning(false)
+	case known && n.registration.Silent(now) > limit && n.machine.Accepting():
+		n.logger.Warn("upstream-silent", zap.String("upstream", n.id),
+			zap.Int64("silent-ms", int64(n.registration.Silent(now))))
+		n.machine.Refuse(relay.ReasonSilent)
+		n.reportTo(n.balancers.Live(now))
+	}
+}
+
 // contact reports to hosts that have not answered, which happens often after the
 // start.
 func (n *sidecarNode) contact() {
--- a/internal/flow/relay/message.go
+++ b/internal/flow/relay/message.go
@@ -62,11 +62,13 @@
 	ReasonBusy
 	// ReasonStopping means that the sidecar is stopping.
 	ReasonStopping
+	// ReasonSilent means that the upstream does not answer.
+	ReasonSilent
 )
 
 var reasonNames = map[Reason]string{
 	ReasonReturned: "returned", ReasonDraining: "draining", ReasonUnregistered: "unregistered",
-	ReasonService: "other-service", ReasonBusy: "busy", ReasonStopping: "stopping",
+	ReasonService: "other-service", ReasonBusy: "busy", ReasonStopping: "stopping", ReasonSilent: "silent",
 }
 
 // String returns the name of the reason in logs.
--- a/internal/flow/sidecar/search.go
+++ b/internal/flow/sidecar/search.go
@@ -157,8 +157,9 @@
 	}
 }
 
-// expire forgets old hints and searches.
-func (s *search) expire(now clock.Millis) {
+// expire forgets old hints and searches. unanswered receives each search that some
+// sidecar has not answered.
+func (s *search) expire(now clock.Millis, unanswered func(segment.Key, *inquiry)) {
 	for key, h := range s.hints {
 		if now-h.heard > hintLife {
 			delete(s.hints, key)
@@ -167,6 +168,7 @@
 	for key, q := range s.pending {
 		if now-q.began > searchLife {
 			delete(s.pending, key)
+			unanswered(key, q)
 		}
 	}
 }
--- a/internal/flow/sidecar/sidecar.go
+++ b/internal/flow/sidecar/sidecar.go
@@ -25,6 +25,10 @@
 	requestLife = 5 * clock.Second
 	// offerLife is how long a flow may take to open. Clients give up earlier.
 	offerLife = 3 * clock.Second
+	// silentOffers is how many new flows in a row an upstream may leave unanswered, and
+	// silentTime for how long, before it gets only one at a time in each silentTime.
+	silentOffers              = 3
+	silentTime   clock.Millis = 150
 	// openWindow is the largest distance of a client's first acknowledgement from
 	// the upstream's first position.
 	openWindow = 76_800
@@ -46,11 +50,12 @@
 	OutcomeLost
 	OutcomeInvalid
 	OutcomeSearched
+	OutcomeUnanswered
 	OutcomeCount
 )
 
 var outcomeNames = [OutcomeCount]string{
-	"offered", "delivered", "refused", "not-held", "probed", "replied", "accepted", "returned", "lost", "invalid", "searched",
+	"offered", "delivered", "refused", "not-held", "probed", "replied", "accepted", "returned", "lost", "invalid", "searched", "unanswered",
 }
 
 // String returns the name of the outcome in metrics and logs.
@@ -61,8 +66,10 @@
 	Outcome  Outcome
 	Key      segment.Key
 	Balancer netip.AddrPort
-	Reason   relay.Reason
-	Load     relay.Load
+	// Sibling is the first sidecar that has not answered a search.
+	Sibling netip.AddrPort
+	Reason  relay.Reason
+	Load    relay.Load
 }
 
 // Config configures a Sidecar. Every function is called during calls of the
@@ -99,9 +106,13 @@
 	active   int
 	open     int
 	search   search
-	buffer   []byte
-	swept    clock.Millis
-	counts   [OutcomeCount]uint64
+	// unanswered counts the new flows offered since the last packet of the upstream,
+	// and silentSince is the time of the last one that was offered as a trial.
+	unanswered  int
+	silentSince clock.Millis
+	buffer      []byte
+	swept       clock.Millis
+	counts      [OutcomeCount]uint64
 }
 
 // flow is one flow of the upstream, or one that was offered to it.
@@ -209,6 +220,11 @@
 		return
 	}
 	f := s.flows[p.Key]
+	if f != nil && f.state == stateProbed && !s.learning {
+		// The upstream has not answered, and it holds no unknown flow.
+		s.remove(p.Key, f)
+		f = nil
+	}
 	if f == nil || f.state == stateOffered || (f.state == stateAccepted && !s.opens(f, p)) {
 		s.handleUnknown(now, from, m, f, p)
 		return
@@ -254,6 +270,9 @@
 		if reason == 0 && m.Service != s.service {
 			reason = relay.ReasonService
 		}
+		if reason == 0 && s.silent(now) {
+			reason = relay.ReasonSilent
+		}
 		if reason != 0 {
 			s.count(Event{Outcome: OutcomeRefused, Key: p.Key, Balancer: from, Reason: reason, Load: s.Load()})
 			s.answer(from, relay.KindRefused, reason, p.Key)
@@ -265,6 +284,10 @@
 	}
 	f.asker, f.agent = from, netip.AddrPort{}
 	f.seen = now
+	s.unanswered++
+	if s.unanswered == 1 {
+		s.silentSince = now
+	}
 	s.count(Event{Outcome: OutcomeOffered, Key: p.Key, Balancer: from, Load: s.Load()})
 	s.config.ToUpstream(m.Packet)
 }
@@ -298,6 +321,19 @@
 	}
 }
 
+// silent reports whether the upstream seems to have ended: it has left several new
+// flows unanswered. Now and then one is offered all the same.
+func (s *Sidecar) silent(now clock.Millis) bool {
+	if s.unanswered < silentOffers || now-s.silentSince < silentTime {
+		return false
+	}
+	if now-s.silentSince < 2*silentTime {
+		return true
+	}
+	s.silentSince = now - silentTime
+	return false
+}
+
 // add makes the entry of a flow.
 func (s *Sidecar) add(now clock.Millis, key segment.Key, state state) *flow {
 	f := &flow{state: state, opened: now, seen: now}
@@ -313,6 +349,7 @@
 		s.count(Event{Outcome: OutcomeInvalid})
 		return
 	}
+	s.unanswered = 0
 	if p.Returned {
 		s.handleReturned(now, p, packet)
 		return
@@ -427,7 +464,9 @@
 		return
 	}
 	s.swept = now
-	s.search.expire(now)
+	s.search.expire(now, func(key segment.Key, q *inquiry) {
+		s.count(Event{Outcome: OutcomeUnanswered, Key: key, Balancer: q.asker, Sibling: q.awaited[0], Load: s.Load()})
+	})
 	for key, f := range s.flows {
 		idle := now - f.seen
 		if f.busy && now-f.busySince > requestLife {
--- a/internal/flow/sidecar/sidecar_test.go
+++ b/internal/flow/sidecar/sidecar_test.go
@@ -297,3 +297,43 @@
 	h.sidecar.Tick(h.now)
 	h.c.Assert(h.answers, qt.HasLen, 0)
 }
+
+// Guards against new flows for an upstream that has ended without a word, and against
+// one that is never tried again.
+func TestSilentUpstream(t *testing.T) {
+	h := newHarness(t)
+	h.sidecar.Serve(portal)
+	offer := func(port uint16) {
+		raw := packet(true, opens, 1, 0, 0)
+		binary.LittleEndian.PutUint16(raw[16:], port)
+		h.forward(balancer, false, raw)
+	}
+	for port := range uint16(4) {
+		offer(1000 + port)
+	}
+	h.c.Assert(h.toUpstream, qt.Equals, 4)
+	h.now += 200
+	offer(1010)
+	h.c.Assert(h.toUpstream, qt.Equals, 4)
+	h.c.Assert(h.answers[0].Reason, qt.Equals, relay.ReasonSilent)
+	h.now += 200
+	offer(1011)
+	offer(1012)
+	h.c.Assert(h.toUpstream, qt.Equals, 5)
+	h.sidecar.HandleUpstream(h.now, packet(false, opens|acks, 500, 2, 0))
+	offer(1013)
+	h.c.Assert(h.toUpstream, qt.Equals, 6)
+}
+
+// Guards against searches that never end because an upstream that does not run was
+// asked once.
+func TestProbedFlowIsForgotten(t *testing.T) {
+	h := newHarness(t)
+	h.sidecar.SetLearning(true)
+	h.forward(balancer, true, packet(true, acks, 2, 501, 100))
+	h.c.Assert(h.last(), qt.Equals, relay.Kind(0))
+	h.sidecar.SetLearning(false)
+	h.forward(balancer, true, packet(true, acks, 2, 501, 100))
+	h.c.Assert(h.last(), qt.Equals, relay.KindAbsent)
+	h.c.Assert(h.sidecar.Load(), qt.Equals, relay.Load{})
+}
