sidecar: Say that a host without an upstream holds no flow

Cause: a host that came back after a power loss without its upstream was awaited in every search for a minute. Change: a sidecar that has heard no heartbeat for two intervals answers for itself and departs when it stops; the owner of a flow ends the search at the agent.

--- a/internal/flow/node/sidecar.go
+++ b/internal/flow/node/sidecar.go
@@ -31,6 +31,8 @@
 	// heartbeatsMissed is how many heartbeats may be missing before the upstream gets
 	// no new flows. They come from the same host, so that few are lost.
 	heartbeatsMissed = 3
+	// firstHeartbeats is in how many intervals the first heartbeat must arrive.
+	firstHeartbeats = 2
 	// finishTime is how long a stopping sidecar stays without a request in
 	// progress.
 	finishTime clock.Millis = 300
@@ -270,12 +272,13 @@
 // checkSilence stops new flows for an upstream whose heartbeats are missing. One that
 // has sent none since the start of this process holds no flow.
 func (n *sidecarNode) checkSilence(now clock.Millis) {
-	limit := heartbeatsMissed * clock.FromDuration(n.own.HeartbeatInterval)
-	_, known := n.registration.Current()
-	switch {
-	case !known && now-n.started > limit:
+	if n.alone(now) {
 		n.machine.SetLearning(false)
-	case known && n.registration.Silent(now) > limit && n.machine.Accepting():
+		return
+	}
+	_, known := n.registration.Current()
+	limit := heartbeatsMissed * clock.FromDuration(n.own.HeartbeatInterval)
+	if known && n.registration.Silent(now) > limit && n.machine.Accepting() {
 		n.logger.Warn("upstream-silent", zap.String("upstream", n.id),
 			zap.Int64("silent-ms", int64(n.registration.Silent(now))))
 		n.machine.Refuse(relay.ReasonSilent)
@@ -283,6 +286,13 @@
 	}
 }
 
+// alone reports whether no upstream has sent a heartbeat since the start of this
+// process, although one that runs would have.
+func (n *sidecarNode) alone(now clock.Millis) bool {
+	_, known := n.registration.Current()
+	return !known && now-n.started > firstHeartbeats*clock.FromDuration(n.own.HeartbeatInterval)
+}
+
 // contact reports to hosts that have not answered, which happens often after the
 // start.
 func (n *sidecarNode) contact() {
@@ -333,7 +343,8 @@
 	for sleep(ctx, drainPoll) == nil {
 		n.mutex.Lock()
 		now := n.clock.Now()
-		if n.machine.Load().Active > 0 {
+		_, known := n.registration.Current()
+		if n.machine.Load().Active > 0 || (!known && !n.alone(now)) {
 			idleSince = now
 		}
 		n.mutex.Unlock()
@@ -348,7 +359,7 @@
 // before its sidecar.
 func (n *sidecarNode) depart(now clock.Millis) {
 	n.mutex.Lock()
-	n.departed = n.registration.Left()
+	n.departed = n.registration.Left() || n.alone(now)
 	if n.departed {
 		n.reportTo(n.balancers.Live(now))
 	}
--- a/internal/flow/sidecar/search.go
+++ b/internal/flow/sidecar/search.go
@@ -125,9 +125,10 @@
 	s.send(q.asker, relay.Message{Kind: relay.KindAbsent, Key: key, Asked: uint16(q.asked), Load: s.Load()})
 }
 
-// handleHint records flows of a sibling.
+// handleHint records flows of a sibling, which end searches for them.
 func (s *Sidecar) handleHint(now clock.Millis, from netip.AddrPort, keys []segment.Key) {
 	for _, key := range keys {
+		delete(s.search.pending, key)
 		if len(s.search.hints) < maxHints {
 			s.search.hints[key] = hint{owner: from, heard: now}
 		}
--- a/internal/flow/sidecar/sidecar.go
+++ b/internal/flow/sidecar/sidecar.go
@@ -238,10 +238,19 @@
 	s.counts[OutcomeDelivered]++
 	s.config.ToUpstream(m.Packet)
 	if f.agent.IsValid() && f.state == stateOpen {
-		s.answer(f.asker, relay.KindClaimed, 0, p.Key)
+		s.claim(f, p.Key)
 	}
 }
 
+// claim tells the balancer and the searching sidecar that the flow is here.
+func (s *Sidecar) claim(f *flow, key segment.Key) {
+	s.answer(f.asker, relay.KindClaimed, 0, key)
+	if f.agent.IsValid() && f.agent != s.config.Self {
+		s.send(f.agent, relay.Message{Kind: relay.KindHint, Keys: []segment.Key{key}})
+	}
+	delete(s.search.pending, key)
+}
+
 // origin returns the balancer that a packet comes from, and the sidecar that searches
 // its owner if there is one.
 func origin(from, asker netip.AddrPort) (balancer, agent netip.AddrPort) {
@@ -370,7 +379,7 @@
 		s.handleAccepted(f, p)
 	case f.state == stateProbed:
 		f.state = stateOpen
-		s.answer(f.asker, relay.KindClaimed, 0, p.Key)
+		s.claim(f, p.Key)
 	}
 	s.trackResponse(f, p)
 	s.counts[OutcomeReplied]++
--- a/internal/flow/sidecar/sidecar_test.go
+++ b/internal/flow/sidecar/sidecar_test.go
@@ -157,7 +157,10 @@
 	h.c.Assert(h.toUpstream, qt.Equals, 0)
 	h.open()
 	h.forward(other, true, data)
-	h.c.Assert(h.last(), qt.Equals, relay.KindClaimed)
+	h.c.Assert(h.answers, qt.HasLen, 2)
+	h.c.Assert(h.answers[0].Kind, qt.Equals, relay.KindClaimed)
+	h.c.Assert(h.receivers[1], qt.Equals, sibling)
+	h.c.Assert(h.last(), qt.Equals, relay.KindHint)
 }
 
 // Guards against a flow whose client has chosen another upstream that accepted a
@@ -181,7 +184,8 @@
 	h.c.Assert(h.toUpstream, qt.Equals, 1)
 	h.c.Assert(h.last(), qt.Equals, relay.Kind(0))
 	h.sidecar.HandleUpstream(h.now, packet(false, acks, 501, 102, 50))
-	h.c.Assert(h.last(), qt.Equals, relay.KindClaimed)
+	h.c.Assert(h.answers[0].Kind, qt.Equals, relay.KindClaimed)
+	h.c.Assert(h.last(), qt.Equals, relay.KindHint)
 	h.c.Assert(h.toClient, qt.Equals, 1)
 }
 
