sidecar: Use the sibling lists of current informers only

Cause: the list of a balancer that had lost the task was kept while it lived, so that searches awaited a host that had gone. Change: both sides select the informers in the same way. Test: TestInformers.

--- a/internal/flow/node/balancer.go
+++ b/internal/flow/node/balancer.go
@@ -27,8 +27,6 @@
 	// listDigests is the number of digests of which one has the lists of hosts, which
 	// are long.
 	listDigests = 10
-	// informers is the number of balancers that tell a sidecar its siblings.
-	informers = 3
 	// siblingInterval is the time between two looks for changed services.
 	siblingInterval clock.Millis = 100
 	// settleTime is how long a balancer waits for reports after its start before it
@@ -242,18 +240,7 @@
 // informs reports whether this balancer is one of those that tell a sidecar its
 // siblings.
 func (n *balancerNode) informs(now clock.Millis, host netip.Addr) bool {
-	own, before := rank(n.settings.RelayAddress.Addr(), host), 0
-	for _, other := range n.balancers.Live(now) {
-		if rank(other, host) > own {
-			before++
-		}
-	}
-	return before < informers
-}
-
-// rank orders the balancers for a sidecar (rendezvous hashing).
-func rank(balancer, sidecar netip.Addr) uint64 {
-	return segment.NewKey(netip.AddrPortFrom(balancer, 0), netip.AddrPortFrom(sidecar, 0)).Hash()
+	return isInformer(n.settings.RelayAddress.Addr(), host, n.balancers.Live(now))
 }
 
 // sendSiblings tells sidecars of services whose members have changed their siblings.
--- /dev/null
+++ b/internal/flow/node/informer_test.go
@@ -0,0 +1,28 @@
+package node
+
+import (
+	"net/netip"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against a sidecar that none or too many balancers tell its siblings.
+func TestInformers(t *testing.T) {
+	c := qt.New(t)
+	var balancers []netip.Addr
+	for i := range byte(24) {
+		balancers = append(balancers, netip.AddrFrom4([4]byte{10, 1, 0, i + 1}))
+	}
+	for i := range byte(60) {
+		sidecar := netip.AddrFrom4([4]byte{10, 2, 0, i + 1})
+		count := 0
+		for _, balancer := range balancers {
+			if isInformer(balancer, sidecar, balancers) {
+				count++
+			}
+		}
+		c.Assert(count, qt.Equals, informers)
+	}
+	c.Assert(isInformer(balancers[0], balancers[1], nil), qt.IsTrue)
+}
--- a/internal/flow/node/sidecar.go
+++ b/internal/flow/node/sidecar.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 
 	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/internal/common/identity"
@@ -229,15 +230,16 @@
 }
 
 // learnSiblings records the sidecars of the service that a balancer names. Balancers
-// may know different ones, so that all that were named lately count.
+// may know different ones, so that those named by any informer count.
 func (n *sidecarNode) learnSiblings(now clock.Millis, from netip.Addr, hosts []netip.Addr) {
 	if len(hosts) == 0 {
 		return
 	}
 	n.named[from] = hosts
 	var siblings []netip.AddrPort
+	live := n.balancers.Live(now)
 	for balancer, hosts := range n.named {
-		if !n.balancers.IsLive(now, balancer) {
+		if !slices.Contains(live, balancer) || !isInformer(balancer, n.settings.RelayAddress.Addr(), live) {
 			delete(n.named, balancer)
 			continue
 		}
--- a/internal/flow/roster/roster.go
+++ b/internal/flow/roster/roster.go
@@ -81,12 +81,6 @@
 	return h
 }
 
-// IsLive reports whether a host sent a message lately.
-func (r *Roster) IsLive(now clock.Millis, address netip.Addr) bool {
-	h, ok := r.hosts[address]
-	return ok && h.live(now)
-}
-
 // Live returns the hosts that sent a message lately, in order.
 func (r *Roster) Live(now clock.Millis) []netip.Addr {
 	return r.list(func(h *host) bool { return h.live(now) })
