sidecar: Log each request with its outcome

Cause: a user's complaint names a request, and the logs named flows only. Change: the sidecar reads the identifier and the status for its log, one line for each response and each request that is lost or abandoned; a histogram of response times. A balancer keeps the service of a flow instead of looking it up.

--- a/internal/common/telemetry/bounded.go
+++ b/internal/common/telemetry/bounded.go
@@ -11,7 +11,7 @@
 
 const (
 	// DefaultLineLimit is a LineLimit that keeps the cost of the log small.
-	DefaultLineLimit = 25
+	DefaultLineLimit = 60
 	// lineBuffer is how many lines wait for a slow reader of the log.
 	lineBuffer = 512
 	// flushWait is how long the end of a process waits for the reader of its log.
--- a/internal/flow/balancer/balancer.go
+++ b/internal/flow/balancer/balancer.go
@@ -139,6 +139,9 @@
 	owner    netip.AddrPort
 	seen     clock.Millis
 	accepted bool
+	// service and bulk are those of the flow's route.
+	service identity.ServiceID
+	bulk    bool
 	opening  *opening
 	// searches counts the sidecars that were asked to find the owner, the last one at
 	// searched.
@@ -201,10 +204,10 @@
 		b.handleRequest(now, f, s, packet)
 		return
 	}
-	b.trackBulk(s)
 	if f != nil && f.owner.IsValid() {
 		f.seen = now
-		b.forward(f.owner, relay.KindForward, b.serviceOf(s.Key), packet)
+		b.trackBulk(f, s)
+		b.forward(f.owner, relay.KindForward, f.service, packet)
 		b.counts[OutcomeForwarded]++
 		return
 	}
@@ -244,7 +247,7 @@
 	b.count(Event{Outcome: OutcomeNotHeld, Key: s.Key, Sidecar: from})
 	if f := b.flows[s.Key]; f != nil {
 		if f.owner.IsValid() && f.owner != from {
-			b.forward(f.owner, relay.KindForward, b.serviceOf(s.Key), packet)
+			b.forward(f.owner, relay.KindForward, f.service, packet)
 			return
 		}
 		f.owner = netip.AddrPort{}
@@ -252,13 +255,6 @@
 	b.search(now, s, packet)
 }
 
-func (b *Balancer) serviceOf(key segment.Key) identity.ServiceID {
-	if r, ok := b.table.Lookup(key.Service()); ok {
-		return r.Service(key)
-	}
-	return 0
-}
-
 // remember returns the entry of a flow, which it makes if there is none.
 func (b *Balancer) remember(now clock.Millis, key segment.Key) *flow {
 	f := b.flows[key]
@@ -267,6 +263,9 @@
 			b.forgetOne()
 		}
 		f = &flow{}
+		if r, ok := b.table.Lookup(key.Service()); ok {
+			f.service, f.bulk = r.Service(key), r.Bulk
+		}
 		b.flows[key] = f
 	}
 	f.seen = now
--- a/internal/flow/balancer/balancer_test.go
+++ b/internal/flow/balancer/balancer_test.go
@@ -262,6 +262,7 @@
 func TestBulkFlowIsRefused(t *testing.T) {
 	h := newHarnessWithLink(t, 1)
 	h.reportAll()
+	h.balancer.HandleSidecar(h.now, sidecars[0], relay.Message{Kind: relay.KindClaimed, Key: keyFrom(40001)})
 	h.balancer.HandleClient(h.now, packetFrom(40001, ackFlags, 1, 1000))
 	h.take()
 	h.balancer.HandleClient(h.now, packetFrom(40002, openFlags, 0, 0))
--- a/internal/flow/balancer/bulk.go
+++ b/internal/flow/balancer/bulk.go
@@ -46,8 +46,8 @@
 }
 
 // trackBulk counts a bulk flow from its first packet until its client has finished.
-func (b *Balancer) trackBulk(s segment.Segment) {
-	if b.bulkLimit == 0 || !b.isBulk(s.Key) {
+func (b *Balancer) trackBulk(f *flow, s segment.Segment) {
+	if b.bulkLimit == 0 || !f.bulk {
 		return
 	}
 	if s.Ends || s.Resets {
@@ -56,8 +56,3 @@
 		b.bulk[s.Key] = struct{}{}
 	}
 }
-
-func (b *Balancer) isBulk(key segment.Key) bool {
-	r, ok := b.table.Lookup(key.Service())
-	return ok && r.Bulk
-}
--- a/internal/flow/balancer/opening.go
+++ b/internal/flow/balancer/opening.go
@@ -64,7 +64,7 @@
 	if f != nil && copies > 0 && f.accepted {
 		// The upstream repeats its answer, which was lost.
 		f.seen = now
-		b.forward(f.owner, relay.KindForward, b.serviceOf(s.Key), packet)
+		b.forward(f.owner, relay.KindForward, f.service, packet)
 		b.counts[OutcomeForwarded]++
 		return
 	}
@@ -76,7 +76,8 @@
 	if f == nil || f.opening == nil || copies == 0 {
 		f = b.remember(now, s.Key)
 		f.owner, f.accepted = netip.AddrPort{}, false
-		f.opening = &opening{key: s.Key, service: r.Service(s.Key), packet: bytes.Clone(packet), began: now}
+		f.service, f.bulk = r.Service(s.Key), r.Bulk
+		f.opening = &opening{key: s.Key, service: f.service, packet: bytes.Clone(packet), began: now}
 	}
 	f.opening.copies = max(f.opening.copies, copies)
 	b.ask(now, f, f.opening, 0)
@@ -85,7 +86,7 @@
 // ask sends the request to the best sidecar that has not been asked. If there is
 // none, the client gets a refusal, unless some upstream may have accepted the flow.
 func (b *Balancer) ask(now clock.Millis, f *flow, o *opening, reason relay.Reason) {
-	if len(o.tried) == 0 && b.isBulk(o.key) && b.bulkFull(now) {
+	if len(o.tried) == 0 && f.bulk && b.bulkFull(now) {
 		b.waitForLink(now, f, o)
 		return
 	}
--- a/internal/flow/node/metrics.go
+++ b/internal/flow/node/metrics.go
@@ -7,6 +7,10 @@
 	"go.uber.org/zap"
 )
 
+// responseBuckets are the bounds of response times in seconds, around the latency
+// goals of 120 to 800 ms.
+var responseBuckets = []float64{0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1, 2.5}
+
 // counterFunc registers a counter that is read when metrics are collected, so that
 // packets cost nothing more.
 func (b *base) counterFunc(name, help, outcome string, read func() uint64) {
@@ -57,6 +61,11 @@
 		n.counterFunc("orioledyke_flow_sidecar_packets_total", "Decisions about packets.", o.String(),
 			func() uint64 { return n.machine.Count(o) })
 	}
+	n.latency = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "orioledyke_flow_sidecar_response_seconds", Help: "Time from a request to the start of its response.",
+		Buckets: responseBuckets,
+	})
+	n.telemetry.Registry().MustRegister(n.latency)
 	n.gaugeFunc("orioledyke_flow_sidecar_flows", "Open flows of the upstream.",
 		func() float64 { return float64(n.machine.Load().Flows) })
 	n.gaugeFunc("orioledyke_flow_sidecar_requests", "Requests in progress.",
@@ -69,6 +78,15 @@
 	case sidecar.OutcomeOffered, sidecar.OutcomeInvalid:
 		return
 	}
+	if e.Request != "" {
+		if e.Outcome == sidecar.OutcomeAnswered {
+			n.latency.Observe(e.Took.Duration().Seconds())
+		}
+		n.logger.Info("request-"+e.Outcome.String(), zap.String("request", e.Request), zap.Stringer("flow", e.Key),
+			zap.Stringer("balancer", e.Balancer), zap.Int("status", e.Status),
+			zap.Int64("took-ms", int64(e.Took)), zap.Int("active", e.Active))
+		return
+	}
 	n.logger.Info("flow-"+e.Outcome.String(), zap.Stringer("flow", e.Key), zap.Stringer("balancer", e.Balancer),
 		zap.Stringer("sibling", e.Sibling), zap.String("reason", e.Reason.String()), zap.Uint16("active", e.Load.Active), zap.Uint16("flows", e.Load.Flows))
 }
--- a/internal/flow/node/sidecar.go
+++ b/internal/flow/node/sidecar.go
@@ -13,6 +13,7 @@
 	"github.com/orioledyke/orioledyke/internal/flow/relay"
 	"github.com/orioledyke/orioledyke/internal/flow/sidecar"
 	"github.com/orioledyke/orioledyke/platform"
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 )
 
@@ -47,6 +48,7 @@
 	registration *registration.Registration
 	outbound     *net.UDPConn
 	directory    *directory
+	latency      prometheus.Histogram
 	// named are the sidecars of the service that each balancer has named.
 	named       map[netip.Addr][]netip.Addr
 	incarnation identity.OwnerID
@@ -84,8 +86,8 @@
 		ToClient:   b.toClient,
 		Self:       s.RelayAddress,
 		ToPeer:     func(to netip.AddrPort, data []byte) { b.send(b.relay, to, data) },
-		FullLength: platform.MaxData,
-		Observe:    n.observe,
+		RequestID:  platform.RequestID, Status: platform.Status, FullLength: platform.MaxData,
+		Observe: n.observe,
 	})
 	n.machine.SetLearning(true)
 	n.directory = b.newDirectory(platform.Sidecars, n.learn)
--- a/internal/flow/sidecar/sidecar.go
+++ b/internal/flow/sidecar/sidecar.go
@@ -51,11 +51,13 @@
 	OutcomeInvalid
 	OutcomeSearched
 	OutcomeUnanswered
+	OutcomeAnswered
+	OutcomeAbandoned
 	OutcomeCount
 )
 
 var outcomeNames = [OutcomeCount]string{
-	"offered", "delivered", "refused", "not-held", "probed", "replied", "accepted", "returned", "lost", "invalid", "searched", "unanswered",
+	"offered", "delivered", "refused", "not-held", "probed", "replied", "accepted", "returned", "lost", "invalid", "searched", "unanswered", "answered", "abandoned",
 }
 
 // String returns the name of the outcome in metrics and logs.
@@ -70,6 +72,13 @@
 	Sibling netip.AddrPort
 	Reason  relay.Reason
 	Load    relay.Load
+	// Request is the identifier of a request, Status that of its response, Active the
+	// number of requests in progress when it arrived, and Took the time to the
+	// response.
+	Request string
+	Status  int
+	Active  int
+	Took    clock.Millis
 }
 
 // Config configures a Sidecar. Every function is called during calls of the
@@ -86,6 +95,10 @@
 	ToUpstream func(packet []byte)
 	ToClient   func(to netip.Addr, packet []byte)
 	ToPeer     func(to netip.AddrPort, data []byte)
+	// RequestID and Status return the identifier of a request and the status of a
+	// response that begin in a packet, for logs only. Nil means not known.
+	RequestID func(packet []byte) string
+	Status    func(packet []byte) int
 	// FullLength is the data of a full packet in bytes.
 	FullLength int
 	// Observe receives decisions about flows. Nil means nothing.
@@ -131,6 +144,7 @@
 	seen           clock.Millis
 	busySince      clock.Millis
 	busy           bool
+	request        request
 	clientFinished bool
 	serverFinished bool
 }
@@ -138,6 +152,13 @@
 // finished reports whether both ends have sent all their data.
 func (f *flow) finished() bool { return f.clientFinished && f.serverFinished }
 
+// request is the last request of a flow, for logs.
+type request struct {
+	id      string
+	arrived clock.Millis
+	active  int
+}
+
 // state is the progress of a flow.
 type state int
 
@@ -234,6 +255,7 @@
 	if f.state == stateAccepted {
 		f.state = stateOpen
 	}
+	s.noteRequest(now, f, p, m.Packet)
 	s.trackRequest(now, f, p)
 	s.counts[OutcomeDelivered]++
 	s.config.ToUpstream(m.Packet)
@@ -381,6 +403,7 @@
 		f.state = stateOpen
 		s.claim(f, p.Key)
 	}
+	s.noteResponse(now, f, p, packet)
 	s.trackResponse(f, p)
 	s.counts[OutcomeReplied]++
 	s.config.ToClient(p.Key.Client().Addr(), packet)
@@ -425,7 +448,7 @@
 	}
 	s.remove(p.Key, f)
 	if f.state == stateOpen {
-		s.count(Event{Outcome: OutcomeLost, Key: p.Key, Balancer: f.asker})
+		s.report(OutcomeLost, p.Key, f, 0, now)
 	}
 	if f.asker.IsValid() {
 		s.config.ClearReturned(packet)
@@ -447,6 +470,35 @@
 	f.busySince = now
 }
 
+// noteRequest remembers the request that begins in a client's packet.
+func (s *Sidecar) noteRequest(now clock.Millis, f *flow, p segment.Segment, packet []byte) {
+	if s.config.RequestID == nil || p.Length == 0 {
+		return
+	}
+	if id := s.config.RequestID(packet); id != "" && id != f.request.id {
+		f.request = request{id: id, arrived: now, active: s.active}
+	}
+}
+
+// noteResponse reports the response that begins in a packet of the upstream.
+func (s *Sidecar) noteResponse(now clock.Millis, f *flow, p segment.Segment, packet []byte) {
+	if s.config.Status == nil || p.Length == 0 || f.request.id == "" {
+		return
+	}
+	if status := s.config.Status(packet); status != 0 {
+		s.report(OutcomeAnswered, p.Key, f, status, now)
+	}
+}
+
+// report reports the outcome of the last request of a flow.
+func (s *Sidecar) report(outcome Outcome, key segment.Key, f *flow, status int, now clock.Millis) {
+	s.count(Event{
+		Outcome: outcome, Key: key, Balancer: f.asker, Load: s.Load(),
+		Request: f.request.id, Status: status, Active: f.request.active, Took: now - f.request.arrived,
+	})
+	f.request = request{}
+}
+
 func (s *Sidecar) trackResponse(f *flow, p segment.Segment) {
 	f.serverFinished = f.serverFinished || p.Ends
 	if (p.Length > 0 || p.Ends) && f.busy {
@@ -481,6 +533,7 @@
 		if f.busy && now-f.busySince > requestLife {
 			f.busy = false
 			s.active--
+			s.report(OutcomeAbandoned, key, f, 0, now)
 		}
 		if idle > flowLife || (idle > closedLife && f.finished()) || (idle > offerLife && f.state != stateOpen) {
 			s.remove(key, f)
--- a/internal/flow/sidecar/sidecar_test.go
+++ b/internal/flow/sidecar/sidecar_test.go
@@ -56,6 +56,7 @@
 	toClient   int
 	answers    []relay.Message
 	receivers  []netip.AddrPort
+	events     []sidecar.Event
 }
 
 func newHarness(t *testing.T) *harness {
@@ -65,6 +66,9 @@
 		ToUpstream: func([]byte) { h.toUpstream++ },
 		ToClient:   func(netip.Addr, []byte) { h.toClient++ },
 		Self:       self,
+		RequestID:  func(raw []byte) string { return string(raw[34:36]) },
+		Status:     func([]byte) int { return 200 },
+		Observe:    func(e sidecar.Event) { h.events = append(h.events, e) },
 		ToPeer: func(to netip.AddrPort, data []byte) {
 			m, err := relay.Decode(append([]byte(nil), data...))
 			h.c.Assert(err, qt.IsNil)
@@ -341,3 +345,20 @@
 	h.c.Assert(h.last(), qt.Equals, relay.KindAbsent)
 	h.c.Assert(h.sidecar.Load(), qt.Equals, relay.Load{})
 }
+
+// Guards against a request that the log does not explain.
+func TestRequestsAreReported(t *testing.T) {
+	h := newHarness(t)
+	h.open()
+	h.now += 40
+	h.sidecar.HandleUpstream(h.now, packet(false, acks, 501, 102, 50))
+	e := h.events[len(h.events)-1]
+	h.c.Assert(e.Outcome, qt.Equals, sidecar.OutcomeAnswered)
+	h.c.Assert(e.Request, qt.Equals, "\x00\x00")
+	h.c.Assert(e.Status, qt.Equals, 200)
+	h.c.Assert(int(e.Took), qt.Equals, 40)
+
+	h.forward(balancer, false, packet(true, acks, 102, 551, 100))
+	h.sidecar.HandleUpstream(h.now, packet(true, acks|returned, 102, 551, 100))
+	h.c.Assert(h.events[len(h.events)-2].Outcome, qt.Equals, sidecar.OutcomeLost)
+}
