cli: Check settings of flow roles and explain a request from logs

Cause: settings check did not know the new roles; on-call engineers had no way from the identifier of a request to its cause. Change: settings check for all roles; orioledyke flow explain NAME FILE.

--- a/internal/cli/commands/flow.go
+++ b/internal/cli/commands/flow.go
@@ -17,6 +17,15 @@
 	return newFlowCommand("flow-sidecar", "run the process beside an upstream for flows without a connection ID", node.RunSidecar)
 }
 
+// newFlowGroupCommand returns the command that holds those about flows.
+func newFlowGroupCommand() *cli.Command {
+	return &cli.Command{
+		Name:     "flow",
+		Usage:    "explain flows and requests",
+		Commands: []*cli.Command{newFlowExplainCommand()},
+	}
+}
+
 // newFlowCommand returns the command of a role that reads its settings again at
 // SIGHUP.
 func newFlowCommand[S any](name, usage string, run func(context.Context, node.Options, S) error) *cli.Command {
--- /dev/null
+++ b/internal/cli/commands/flow_explain.go
@@ -0,0 +1,65 @@
+package commands
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/orioledyke/orioledyke/internal/flow/explain"
+	"github.com/samber/oops"
+	"github.com/urfave/cli/v3"
+)
+
+// explainWindow is how far from a request the lines of its flow may be. Flows live
+// for a minute at most.
+const explainWindow = time.Minute
+
+func newFlowExplainCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "explain",
+		Usage:     "show what happened to a request or flow",
+		ArgsUsage: "NAME FILE...",
+		Description: "NAME is the identifier of a request, or a flow as client>service. The files are logs\n" +
+			"of all processes; - is the standard input.",
+		Action: explainFlow,
+	}
+}
+
+func explainFlow(_ context.Context, command *cli.Command) error {
+	if command.Args().Len() < 2 {
+		return usageError("orioledyke flow explain needs NAME FILE...; see orioledyke flow explain --help")
+	}
+	var logs []io.Reader
+	for _, path := range command.Args().Slice()[1:] {
+		if path == "-" {
+			logs = append(logs, os.Stdin)
+			continue
+		}
+		file, err := os.Open(path)
+		if err != nil {
+			return err
+		}
+		defer file.Close()
+		logs = append(logs, file)
+	}
+	name := command.Args().First()
+	story, err := explain.Search(logs, name, explainWindow)
+	if err != nil {
+		return err
+	}
+	if len(story.Lines()) == 0 {
+		return oops.Errorf("no line names %s; the log limit or a lost host may have left it out", name)
+	}
+	if _, err := fmt.Fprintf(command.Root().Writer, "flow %s\n", story.Flow()); err != nil {
+		return err
+	}
+	for _, line := range story.Lines() {
+		if _, err := fmt.Fprintf(command.Root().Writer, "%s %s %s\n",
+			line.At().Format("15:04:05.000"), line.Host(), line.Text()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/cli/commands/settings.go
+++ b/internal/cli/commands/settings.go
@@ -52,8 +52,7 @@
 		return errReported
 	}
 	for _, file := range files {
-		process := file.Process()
-		if _, err := fmt.Fprintf(command.Root().Writer, "%s: valid settings of %s on host %s\n", process.File(), process.Role, process.Host); err != nil {
+		if _, err := fmt.Fprintf(command.Root().Writer, "%s: valid settings of %s on host %s\n", file.Path(), file.Role(), file.Host()); err != nil {
 			return err
 		}
 	}
--- a/internal/common/settings/files.go
+++ b/internal/common/settings/files.go
@@ -4,24 +4,57 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"slices"
 
 	"github.com/orioledyke/orioledyke/internal/common/keyring"
 )
 
-// File is a checked settings file of either role.
+// File is a checked settings file of any role.
 type File struct {
 	balancer *Balancer
 	sidecar  *Sidecar
+	flow     *FlowProcess
 }
 
+// Path returns the path that the settings were read from.
+func (f File) Path() string {
+	if f.flow != nil {
+		return f.flow.source.file
+	}
+	return f.Process().source.file
+}
+
+// Role returns the role of the process.
+func (f File) Role() Role {
+	if f.flow != nil {
+		return f.flow.Role
+	}
+	return f.Process().Role
+}
+
+// Host returns the host of the process.
+func (f File) Host() string {
+	if f.flow != nil {
+		return f.flow.Host
+	}
+	return f.Process().Host
+}
+
+// Flow returns the settings of a process for flows without a connection ID, or nil.
+func (f File) Flow() *FlowProcess { return f.flow }
+
 // Balancer returns the settings of a balancer, or nil.
 func (f File) Balancer() *Balancer { return f.balancer }
 
 // Sidecar returns the settings of a sidecar, or nil.
 func (f File) Sidecar() *Sidecar { return f.sidecar }
 
-// Process returns the settings that every role has.
+// Process returns the settings that balancers and sidecars have, or nil for a process
+// for flows without a connection ID.
 func (f File) Process() *Process {
+	if f.flow != nil {
+		return nil
+	}
 	if f.balancer != nil {
 		return &f.balancer.Process
 	}
@@ -30,6 +63,9 @@
 
 // CheckPorts reports the addresses of the process that cannot be opened.
 func (f File) CheckPorts() Faults {
+	if f.flow != nil {
+		return f.flow.checkPorts()
+	}
 	if f.balancer != nil {
 		return CheckPorts(*f.balancer)
 	}
@@ -72,6 +108,12 @@
 	case RoleSidecar:
 		settings, faults := parse[Sidecar](path, data)
 		return File{sidecar: &settings}, faults
+	case RoleFlowBalancer:
+		settings, faults := parse[FlowBalancer](path, data)
+		return File{flow: &settings.FlowProcess}, faults
+	case RoleFlowSidecar:
+		settings, faults := parse[FlowSidecar](path, data)
+		return File{flow: &settings.FlowProcess}, faults
 	}
 	// Without a role the other keys cannot be checked.
 	for _, fault := range d.faults {
@@ -98,7 +140,7 @@
 		files = append(files, file)
 	}
 	faults = append(faults, sharedAddresses(files)...)
-	faults = append(faults, differentKeyRings(files)...)
+	faults = append(faults, differentKeyRings(slices.DeleteFunc(slices.Clone(files), func(f File) bool { return f.flow != nil }))...)
 	if len(faults) > 0 {
 		return files, faults
 	}
@@ -110,7 +152,7 @@
 	var faults Faults
 	for i, file := range files {
 		for _, other := range files[:i] {
-			faults = append(faults, sharedBy(file.Process(), other.Process())...)
+			faults = append(faults, sharedBy(file, other)...)
 			if fault, ok := sharedEntry(file, other); ok {
 				faults = append(faults, fault)
 			}
@@ -119,20 +161,34 @@
 	return faults
 }
 
-func sharedBy(process, other *Process) Faults {
+func sharedBy(file, other File) Faults {
 	var faults Faults
-	for _, a := range process.listening() {
+	for _, a := range file.listening() {
 		for _, b := range other.listening() {
-			if !overlap(a.address, b.address) || (process.Host != other.Host && separate(a, b)) {
+			if !overlap(a.address, b.address) || (file.Host() != other.Host() && separate(a, b)) {
 				continue
 			}
-			faults = append(faults, process.source.fault(a.key,
-				fmt.Sprintf("%s is also the address of %s in %s; want a different address for each process", a.address, b.key, other.source.file)))
+			faults = append(faults, file.source().fault(a.key,
+				fmt.Sprintf("%s is also the address of %s in %s; want a different address for each process", a.address, b.key, other.Path())))
 		}
 	}
 	return faults
 }
 
+func (f File) listening() []keyed {
+	if f.flow != nil {
+		return f.flow.listening()
+	}
+	return f.Process().listening()
+}
+
+func (f File) source() source {
+	if f.flow != nil {
+		return f.flow.source
+	}
+	return f.Process().source
+}
+
 // separate reports whether two overlapping addresses can exist on different
 // hosts: peers are not told the observe address, so each host may use its
 // loopback or every address.
--- a/internal/common/settings/ports.go
+++ b/internal/common/settings/ports.go
@@ -26,6 +26,20 @@
 	}
 }
 
+func (p *FlowProcess) checkPorts() Faults {
+	var faults Faults
+	for _, a := range p.listening() {
+		try, protocol := tryTCP, "TCP"
+		if a.key == "packet-address" {
+			try, protocol = tryUDP, "UDP"
+		}
+		if err := try(a.address); err != nil {
+			faults = append(faults, p.source.fault(a.key, unavailable(a.address, protocol, err)))
+		}
+	}
+	return faults
+}
+
 func (p *Process) checkPorts() Faults {
 	var faults Faults
 	if err := tryUDP(p.TunnelAddress); err != nil {
--- a/internal/flow/balancer/balancer.go
+++ b/internal/flow/balancer/balancer.go
@@ -142,7 +142,7 @@
 	// service and bulk are those of the flow's route.
 	service identity.ServiceID
 	bulk    bool
-	opening  *opening
+	opening *opening
 	// searches counts the sidecars that were asked to find the owner, the last one at
 	// searched.
 	searches int
