--- a/internal/flow/sidecar/sidecar.go
+++ b/internal/flow/sidecar/sidecar.go
@@ -29,6 +29,8 @@
 	// silentTime for how long, before it gets only one at a time in each silentTime.
 	silentOffers              = 3
 	silentTime   clock.Millis = 150
+	// firstFailure is the lowest status of a response that is not a success.
+	firstFailure = 400
 	// openWindow is the largest distance of a client's first acknowledgement from
 	// the upstream's first position.
 	openWindow = 76_800
@@ -51,13 +53,15 @@
 	OutcomeInvalid
 	OutcomeSearched
 	OutcomeUnanswered
+	OutcomeReceived
 	OutcomeAnswered
+	OutcomeFailed
 	OutcomeAbandoned
 	OutcomeCount
 )
 
 var outcomeNames = [OutcomeCount]string{
-	"offered", "delivered", "refused", "not-held", "probed", "replied", "accepted", "returned", "lost", "invalid", "searched", "unanswered", "answered", "abandoned",
+	"offered", "delivered", "refused", "not-held", "probed", "replied", "accepted", "returned", "lost", "invalid", "searched", "unanswered", "received", "answered", "failed", "abandoned",
 }
 
 // String returns the name of the outcome in metrics and logs.
@@ -477,6 +481,9 @@
 	}
 	if id := s.config.RequestID(packet); id != "" && id != f.request.id {
 		f.request = request{id: id, arrived: now, active: s.active}
+		s.count(Event{
+			Outcome: OutcomeReceived, Key: p.Key, Balancer: f.asker, Load: s.Load(), Request: id, Active: s.active,
+		})
 	}
 }
 
@@ -485,8 +492,12 @@
 	if s.config.Status == nil || p.Length == 0 || f.request.id == "" {
 		return
 	}
-	if status := s.config.Status(packet); status != 0 {
+	switch status := s.config.Status(packet); {
+	case status == 0:
+	case status < firstFailure:
 		s.report(OutcomeAnswered, p.Key, f, status, now)
+	default:
+		s.report(OutcomeFailed, p.Key, f, status, now)
 	}
 }
 
