sidecar: Find out whether an upstream runs

Cause: after a power loss or a crash, a sidecar could not tell an upstream that is gone from one that is slow, and flows that had died were reset seconds later. Change: at the start, and when packets stay unanswered for 250 ms, the sidecar connects to the upstream's port; if it is closed, the upstream holds no flow.

--- /dev/null
+++ b/internal/flow/node/presence.go
@@ -0,0 +1,63 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+
+	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/flow/relay"
+	"go.uber.org/zap"
+)
+
+const (
+	// presenceTimeout limits the attempt to reach the upstream on this host.
+	presenceTimeout clock.Millis = 300
+	// presenceInterval is the time between two looks for an upstream that seems to
+	// have ended.
+	presenceInterval clock.Millis = 300
+)
+
+// watchPresence finds out whether an upstream runs: at the start of this process, and
+// whenever the upstream leaves packets unanswered. One whose port is closed holds no
+// flow, so that clients need not wait for it.
+func (n *sidecarNode) watchPresence(ctx context.Context) error {
+	n.checkPresence(ctx)
+	for sleep(ctx, presenceInterval) == nil {
+		n.mutex.Lock()
+		suspect := n.machine.Suspect(n.clock.Now())
+		n.mutex.Unlock()
+		if suspect {
+			n.checkPresence(ctx)
+		}
+	}
+	return nil
+}
+
+// checkPresence ends all flows of an upstream whose port is closed.
+func (n *sidecarNode) checkPresence(ctx context.Context) {
+	n.mutex.Lock()
+	address := n.own.UpstreamAddress
+	n.mutex.Unlock()
+	dialer := net.Dialer{Timeout: presenceTimeout.Duration()}
+	conn, err := dialer.DialContext(ctx, "tcp4", address.String())
+	if err == nil {
+		if err := conn.Close(); err != nil {
+			n.logger.Warn("socket-error", zap.String("socket", "presence"), zap.Error(err))
+		}
+		return
+	}
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return
+	}
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.logger.Warn("upstream-absent", zap.String("upstream", n.id), zap.Error(err))
+	n.machine.Forget()
+	n.machine.SetLearning(false)
+	if n.machine.Accepting() {
+		n.machine.Refuse(relay.ReasonSilent)
+		n.reportTo(n.balancers.Live(n.clock.Now()))
+	}
+}
--- a/internal/flow/node/sidecar.go
+++ b/internal/flow/node/sidecar.go
@@ -104,6 +104,7 @@
 	n.addTimer("report", reportInterval, n.sendReports)
 	n.addStartTimer(func(context.Context) { n.contact() })
 	n.tree.Add("directory", n.directory.serve)
+	n.tree.Add("presence", n.watchPresence)
 	if err := n.addSettings(n.applySettings); err != nil {
 		return err
 	}
--- a/internal/flow/sidecar/sidecar.go
+++ b/internal/flow/sidecar/sidecar.go
@@ -29,6 +29,9 @@
 	// silentTime for how long, before it gets only one at a time in each silentTime.
 	silentOffers              = 3
 	silentTime   clock.Millis = 150
+	// suspectTime is how long an upstream may leave packets unanswered before it is
+	// looked for.
+	suspectTime clock.Millis = 250
 	// firstFailure is the lowest status of a response that is not a success.
 	firstFailure = 400
 	// openWindow is the largest distance of a client's first acknowledgement from
@@ -127,9 +130,13 @@
 	// and silentSince is the time of the last one that was offered as a trial.
 	unanswered  int
 	silentSince clock.Millis
-	buffer      []byte
-	swept       clock.Millis
-	counts      [OutcomeCount]uint64
+	// asking tells that packets were sent to the upstream since its last one, the
+	// first at asked.
+	asked  clock.Millis
+	asking bool
+	buffer []byte
+	swept  clock.Millis
+	counts [OutcomeCount]uint64
 }
 
 // flow is one flow of the upstream, or one that was offered to it.
@@ -262,7 +269,7 @@
 	s.noteRequest(now, f, p, m.Packet)
 	s.trackRequest(now, f, p)
 	s.counts[OutcomeDelivered]++
-	s.config.ToUpstream(m.Packet)
+	s.toUpstream(now, m.Packet)
 	if f.agent.IsValid() && f.state == stateOpen {
 		s.claim(f, p.Key)
 	}
@@ -324,7 +331,7 @@
 		s.silentSince = now
 	}
 	s.count(Event{Outcome: OutcomeOffered, Key: p.Key, Balancer: from, Load: s.Load()})
-	s.config.ToUpstream(m.Packet)
+	s.toUpstream(now, m.Packet)
 }
 
 // handleUnknown handles a packet of a flow that this process does not know as the
@@ -334,7 +341,7 @@
 		f = s.add(now, p.Key, stateProbed)
 		f.asker, f.agent = origin(from, m.Asker)
 		s.count(Event{Outcome: OutcomeProbed, Key: p.Key, Balancer: f.asker})
-		s.config.ToUpstream(m.Packet)
+		s.toUpstream(now, m.Packet)
 		return
 	}
 	asker, agent := origin(from, m.Asker)
@@ -356,6 +363,18 @@
 	}
 }
 
+// toUpstream sends a packet to the upstream.
+func (s *Sidecar) toUpstream(now clock.Millis, packet []byte) {
+	if !s.asking {
+		s.asking, s.asked = true, now
+	}
+	s.config.ToUpstream(packet)
+}
+
+// Suspect reports whether the upstream has sent nothing although packets were sent to
+// it: it acknowledges every second one.
+func (s *Sidecar) Suspect(now clock.Millis) bool { return s.asking && now-s.asked >= suspectTime }
+
 // silent reports whether the upstream seems to have ended: it has left several new
 // flows unanswered. Now and then one is offered all the same.
 func (s *Sidecar) silent(now clock.Millis) bool {
@@ -384,7 +403,7 @@
 		s.count(Event{Outcome: OutcomeInvalid})
 		return
 	}
-	s.unanswered = 0
+	s.unanswered, s.asking = 0, false
 	if p.Returned {
 		s.handleReturned(now, p, packet)
 		return
--- a/internal/flow/sidecar/sidecar_test.go
+++ b/internal/flow/sidecar/sidecar_test.go
@@ -362,3 +362,15 @@
 	h.sidecar.HandleUpstream(h.now, packet(true, acks|returned, 102, 551, 100))
 	h.c.Assert(h.events[len(h.events)-2].Outcome, qt.Equals, sidecar.OutcomeLost)
 }
+
+// Guards against a crashed upstream that nobody looks for.
+func TestSuspect(t *testing.T) {
+	h := newHarness(t)
+	h.open()
+	h.now += 249
+	h.c.Assert(h.sidecar.Suspect(h.now), qt.IsFalse)
+	h.now++
+	h.c.Assert(h.sidecar.Suspect(h.now), qt.IsTrue)
+	h.sidecar.HandleUpstream(h.now, packet(false, acks, 501, 102, 50))
+	h.c.Assert(h.sidecar.Suspect(h.now), qt.IsFalse)
+}
