flow: Keep drains in the store; answer searches for the own service only

Cause: more faults in the stand-in found two broken rules. Change: a search names its service; a drain is written to the host's entry in the store before it is acknowledged, and read at the start. The stand-in has eight mutants, answers are judged by flow, and a reused address is known unevenly.

--- a/Makefile
+++ b/Makefile
@@ -2,9 +2,7 @@
 BIN := bin
 TOOLS := $(abspath $(BIN)/tools)
 
-.PHONY: all build tools lint format generate test demo prove bench capacity measure fuzz mutants
-
-.PHONY: all build tools lint format generate test demo bench measure
+.PHONY: all build tools lint format generate test demo prove bench capacity measure fuzz mutants fleet
 
 all: build
 
@@ -40,7 +38,7 @@
 	$(BIN)/orioledyke-demo prove
 
 bench:
-	$(GO) test -run '^$$' -bench 'Route|TableChange|Forward' ./internal/balancer/...
+	$(GO) test -run '^$$' -bench 'Route|TableChange|Forward' ./internal/balancer/... ./internal/flow/balancer
 
 # Measures the slopes of docs/CAPACITY.md.
 capacity:
@@ -69,3 +67,7 @@
 measure:
 	@ORIOLEDYKE_MEASURE=1 ORIOLEDYKE_MEASURE_OUTPUT=$(abspath out/measure.json) SEED=$(or $(SEED),1) \
 		$(GO) test -count=1 -timeout 30m -run '^TestMeasure$$' -v ./internal/standin/measure | grep -v -E '^(=== RUN|--- PASS|PASS|ok) *'
+
+# Runs the flow path among modelled routers, clients and upstreams under faults.
+fleet:
+	$(GO) test -count=1 -run '^TestFaults$$' ./internal/standin/fleet -fleet.seed $(or $(SEED),20261204) -fleet.seeds $(or $(SEEDS),100)
--- a/internal/flow/node/directory.go
+++ b/internal/flow/node/directory.go
@@ -22,6 +22,12 @@
 	renewInterval     = 20 * clock.Second
 	// directoryRetry is the time between failed calls.
 	directoryRetry clock.Millis = 500
+	// drainTimeout limits the entry of a drain, which the acknowledgement waits for:
+	// upstreams wait for one second.
+	drainTimeout clock.Millis = 400
+	// restoreTimeout limits the look at the start for a drain before it. Heartbeats
+	// come every second or so.
+	restoreTimeout clock.Millis = 400
 	// leaveTimeout limits the removal of the own entry at the end.
 	leaveTimeout clock.Millis = 200
 )
@@ -35,8 +41,10 @@
 	learn func(now clock.Millis, hosts platform.Hosts)
 	self  netip.Addr
 	// read tells that the list has been read.
-	read    atomic.Bool
-	lease   atomic.Uint64
+	read  atomic.Bool
+	lease atomic.Uint64
+	// drained is the start of the upstream that drains on this host.
+	drained atomic.Int64
 	renewed clock.Millis
 }
 
@@ -92,7 +100,7 @@
 	if err != nil {
 		return err
 	}
-	if err := d.base.store.AddHost(ctx, d.list, d.self, lease); err != nil {
+	if err := d.base.store.AddHost(ctx, d.list, d.self, d.drained.Load(), lease); err != nil {
 		return err
 	}
 	d.lease.Store(lease)
@@ -100,6 +108,38 @@
 	return nil
 }
 
+// setDrained adds to the entry that an upstream drains, for the next run of this
+// process. Without an answer in time, the next new entry has it.
+func (d *directory) setDrained(born int64) {
+	d.drained.Store(born)
+	lease := d.lease.Load()
+	if lease == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout.Duration())
+	defer cancel()
+	if err := d.base.store.AddHost(ctx, d.list, d.self, born, lease); err != nil {
+		d.base.logger.Warn("directory-failed", zap.Error(err))
+		if errors.Is(err, platform.ErrNotFound) {
+			d.lease.Store(0)
+		}
+	}
+}
+
+// restore returns the start of the upstream that drains on this host, as an earlier run
+// has listed it; 0 if none does or the store does not answer in time.
+func (d *directory) restore(ctx context.Context) int64 {
+	ctx, cancel := context.WithTimeout(ctx, restoreTimeout.Duration())
+	defer cancel()
+	born, err := d.base.store.Drained(ctx, d.list, d.self)
+	if err != nil {
+		d.base.logger.Warn("directory-failed", zap.Error(err))
+		return 0
+	}
+	d.drained.Store(born)
+	return born
+}
+
 // leave removes the own entry. If that fails, its lease ends it.
 func (d *directory) leave() {
 	lease := d.lease.Load()
--- a/internal/flow/node/sidecar.go
+++ b/internal/flow/node/sidecar.go
@@ -60,6 +60,8 @@
 	// born is the start of the upstream whose flows the machine holds.
 	born int64
 	id   string
+	// restored tells that a drain before the start of this process would be known.
+	restored bool
 	// departed tells that the upstream has ended for good.
 	departed bool
 }
@@ -89,6 +91,7 @@
 		RequestID:  platform.RequestID, Status: platform.Status, FullLength: platform.MaxData,
 		Observe: n.observe,
 	})
+	n.machine.SetService(platform.ServiceID(s.Service))
 	n.machine.SetLearning(true)
 	n.directory = b.newDirectory(platform.Sidecars, n.learn)
 	n.registerMetrics()
@@ -105,6 +108,15 @@
 	n.addStartTimer(func(context.Context) { n.contact() })
 	n.tree.Add("directory", n.directory.serve)
 	n.tree.Add("presence", n.watchPresence)
+	n.tree.Add("restore", func(ctx context.Context) error {
+		born := n.directory.restore(ctx)
+		n.mutex.Lock()
+		defer n.mutex.Unlock()
+		n.restored = true
+		n.registration.Restore(born)
+		n.applyRegistration(n.clock.Now())
+		return nil
+	})
 	if err := n.addSettings(n.applySettings); err != nil {
 		return err
 	}
@@ -129,6 +141,7 @@
 	n.settings.Seeds = s.Seeds
 	n.settings.DrainTimeout = s.DrainTimeout
 	n.own.Service, n.own.UpstreamAddress = s.Service, s.UpstreamAddress
+	n.machine.SetService(platform.ServiceID(s.Service))
 	n.registration.Configure(registration.Config{Address: s.UpstreamAddress, Service: s.Service})
 	return nil
 }
@@ -163,8 +176,17 @@
 }
 
 // heartbeat applies a heartbeat of the upstream. When it returns, the state is in
-// effect for new flows.
+// effect for new flows, and the next run of this process will know of a drain unless
+// the store does not answer.
 func (n *sidecarNode) heartbeat(h registration.Heartbeat) registration.Verdict {
+	verdict := n.applyHeartbeat(h)
+	if verdict == registration.Applied && h.Draining && n.directory.drained.Load() != h.Born {
+		n.directory.setDrained(h.Born)
+	}
+	return verdict
+}
+
+func (n *sidecarNode) applyHeartbeat(h registration.Heartbeat) registration.Verdict {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	now := n.clock.Now()
@@ -203,15 +225,15 @@
 // at once when it changed.
 func (n *sidecarNode) applyRegistration(now clock.Millis) {
 	before := n.machine.Accepting()
-	switch current, known := n.registration.Current(); {
+	switch _, known := n.registration.Current(); {
 	case n.stopping:
 		n.machine.Refuse(relay.ReasonStopping)
-	case !known:
+	case !known || !n.restored:
 		n.machine.Refuse(relay.ReasonUnregistered)
 	case !n.registration.Accepting():
 		n.machine.Refuse(relay.ReasonDraining)
 	default:
-		n.machine.Serve(platform.ServiceID(current.Service))
+		n.machine.Serve()
 	}
 	if n.machine.Accepting() != before {
 		n.logger.Info("upstream-changed", zap.Bool("accepting", n.machine.Accepting()))
--- a/internal/flow/registration/registration.go
+++ b/internal/flow/registration/registration.go
@@ -63,6 +63,8 @@
 	known   bool
 	left    bool
 	heard   clock.Millis
+	// drained is the start of the newest incarnation that is known to drain.
+	drained int64
 }
 
 // New returns a Registration without an upstream.
@@ -73,6 +75,10 @@
 // Configure sets the address and service that heartbeats must have.
 func (r *Registration) Configure(config Config) { r.config = config }
 
+// Restore records that the incarnation with the given start has reported that it
+// drains, to an earlier run of this process. It and older ones get no new flows.
+func (r *Registration) Restore(born int64) { r.drained = max(r.drained, born) }
+
 // Heartbeat applies a heartbeat.
 func (r *Registration) Heartbeat(now clock.Millis, h Heartbeat) Verdict {
 	if h.Address != r.config.Address || (r.config.Service != "" && h.Service != r.config.Service) {
@@ -114,7 +120,10 @@
 func (r *Registration) Current() (Heartbeat, bool) { return r.current, r.known }
 
 // Accepting reports whether the upstream takes new flows.
-func (r *Registration) Accepting() bool { return r.known && !r.left && !r.current.Draining }
+func (r *Registration) Accepting() bool {
+	drained := r.drained > 0 && r.current.Born <= r.drained
+	return r.known && !r.left && !r.current.Draining && !drained
+}
 
 // Left reports whether the upstream has deregistered.
 func (r *Registration) Left() bool { return r.left }
--- a/internal/flow/registration/registration_test.go
+++ b/internal/flow/registration/registration_test.go
@@ -103,3 +103,17 @@
 		}
 	})
 }
+
+// Guards against new flows for an upstream that drains, after its sidecar has restarted
+// and hears a late heartbeat first.
+func TestRestoredDrain(t *testing.T) {
+	c := qt.New(t)
+	r := newRegistration()
+	r.Restore(200)
+	c.Assert(r.Heartbeat(0, heartbeat("a", 100, 9)), qt.Equals, registration.Applied)
+	c.Assert(r.Accepting(), qt.IsFalse)
+	c.Assert(r.Heartbeat(10, heartbeat("b", 200, 4)), qt.Equals, registration.Applied)
+	c.Assert(r.Accepting(), qt.IsFalse)
+	c.Assert(r.Heartbeat(20, heartbeat("c", 300, 1)), qt.Equals, registration.Applied)
+	c.Assert(r.Accepting(), qt.IsTrue)
+}
--- a/internal/flow/sidecar/search.go
+++ b/internal/flow/sidecar/search.go
@@ -72,6 +72,11 @@
 		s.count(Event{Outcome: OutcomeInvalid, Balancer: from})
 		return
 	}
+	if m.Service != s.service {
+		// The address of the sidecar that was meant has been used again.
+		s.returnPacket(now, from, netip.AddrPort{}, p.Key, m.Packet)
+		return
+	}
 	m.Asker = from
 	if f := s.flows[p.Key]; f != nil && (f.state == stateOpen || (f.state == stateAccepted && s.opens(f, p))) {
 		s.handleForward(now, s.config.Self, m)
--- a/internal/flow/sidecar/sidecar.go
+++ b/internal/flow/sidecar/sidecar.go
@@ -185,7 +185,7 @@
 	stateOpen
 )
 
-// New returns a Sidecar that refuses new flows until Serve is called.
+// New returns a Sidecar that refuses new flows until SetService and Serve are called.
 func New(config Config) *Sidecar {
 	if config.Observe == nil {
 		config.Observe = func(Event) {}
@@ -196,8 +196,12 @@
 	}
 }
 
-// Serve offers flows of a service to the upstream.
-func (s *Sidecar) Serve(service identity.ServiceID) { s.service, s.refusal = service, 0 }
+// SetService sets the service that the upstream belongs to. Packets of others are
+// refused.
+func (s *Sidecar) SetService(service identity.ServiceID) { s.service = service }
+
+// Serve offers new flows to the upstream.
+func (s *Sidecar) Serve() { s.refusal = 0 }
 
 // Refuse offers no new flows from now on. Flows that are open stay.
 func (s *Sidecar) Refuse(reason relay.Reason) { s.refusal = reason }
--- a/internal/flow/sidecar/sidecar_test.go
+++ b/internal/flow/sidecar/sidecar_test.go
@@ -76,6 +76,7 @@
 			h.receivers = append(h.receivers, to)
 		},
 	})
+	h.sidecar.SetService(portal)
 	return h
 }
 
@@ -110,7 +111,7 @@
 
 // open opens the test flow at the upstream.
 func (h *harness) open() {
-	h.sidecar.Serve(portal)
+	h.sidecar.Serve()
 	h.forward(balancer, false, packet(true, opens, 1, 0, 0))
 	h.sidecar.HandleUpstream(h.now, packet(false, opens|acks, 500, 2, 0))
 	h.c.Assert(h.last(), qt.Equals, relay.KindAccepted)
@@ -131,9 +132,10 @@
 		h.c.Assert(h.toUpstream, qt.Equals, 0)
 	}
 	refused(relay.ReasonUnregistered)
-	h.sidecar.Serve(platform.ServiceID("weighbridge"))
+	h.sidecar.Serve()
+	h.sidecar.SetService(platform.ServiceID("weighbridge"))
 	refused(relay.ReasonService)
-	h.sidecar.Serve(portal)
+	h.sidecar.SetService(portal)
 	h.sidecar.Refuse(relay.ReasonDraining)
 	refused(relay.ReasonDraining)
 }
@@ -152,7 +154,7 @@
 // against a balancer that does not find the owner.
 func TestSearch(t *testing.T) {
 	h := newHarness(t)
-	h.sidecar.Serve(portal)
+	h.sidecar.Serve()
 	data := packet(true, acks, 2, 501, 100)
 	h.forward(other, true, data)
 	h.c.Assert(h.last(), qt.Equals, relay.KindAbsent)
@@ -171,7 +173,7 @@
 // copy of the request too.
 func TestOtherUpstreamWasChosen(t *testing.T) {
 	h := newHarness(t)
-	h.sidecar.Serve(portal)
+	h.sidecar.Serve()
 	h.forward(balancer, false, packet(true, opens, 1, 0, 0))
 	h.sidecar.HandleUpstream(h.now, packet(false, opens|acks, 500, 2, 0))
 	h.forward(balancer, false, packet(true, acks, 2, 4_000_000, 100))
@@ -231,7 +233,7 @@
 // Guards against a request that is lost when the upstream has no room.
 func TestReturnedRequestIsRefused(t *testing.T) {
 	h := newHarness(t)
-	h.sidecar.Serve(portal)
+	h.sidecar.Serve()
 	h.forward(balancer, false, packet(true, opens, 1, 0, 0))
 	h.sidecar.HandleUpstream(h.now, packet(true, opens|returned, 1, 0, 0))
 	h.c.Assert(h.last(), qt.Equals, relay.KindRefused)
@@ -242,7 +244,7 @@
 // told too early that no upstream holds a flow.
 func TestSearchAmongAll(t *testing.T) {
 	h := newHarness(t)
-	h.sidecar.Serve(portal)
+	h.sidecar.Serve()
 	h.sidecar.SetSiblings([]netip.AddrPort{third, self, sibling, third})
 	h.search(packet(true, acks, 2, 501, 100))
 	h.c.Assert(h.answers, qt.HasLen, 2)
@@ -266,7 +268,7 @@
 // is out of date.
 func TestSearchByHint(t *testing.T) {
 	h := newHarness(t)
-	h.sidecar.Serve(portal)
+	h.sidecar.Serve()
 	h.sidecar.SetSiblings([]netip.AddrPort{sibling, third})
 	h.sidecar.HandleMessage(h.now, third, relay.Message{Kind: relay.KindHint, Keys: []segment.Key{key}})
 	h.search(packet(true, acks, 2, 501, 100))
@@ -310,7 +312,7 @@
 // one that is never tried again.
 func TestSilentUpstream(t *testing.T) {
 	h := newHarness(t)
-	h.sidecar.Serve(portal)
+	h.sidecar.Serve()
 	offer := func(port uint16) {
 		raw := packet(true, opens, 1, 0, 0)
 		binary.LittleEndian.PutUint16(raw[16:], port)
@@ -374,3 +376,15 @@
 	h.sidecar.HandleUpstream(h.now, packet(false, acks, 501, 102, 50))
 	h.c.Assert(h.sidecar.Suspect(h.now), qt.IsFalse)
 }
+
+// Guards against a sidecar at a reused address that answers for another service, which
+// would let a balancer reset flows that live on.
+func TestSearchForAnotherService(t *testing.T) {
+	h := newHarness(t)
+	h.sidecar.SetSiblings([]netip.AddrPort{sibling, third})
+	h.sidecar.HandleMessage(h.now, balancer, relay.Message{
+		Kind: relay.KindSearch, Service: platform.ServiceID("weighbridge"), Packet: packet(true, acks, 2, 501, 100),
+	})
+	h.c.Assert(h.answers, qt.HasLen, 1)
+	h.c.Assert(h.last(), qt.Equals, relay.KindNotHeld)
+}
--- a/internal/standin/fleet/balancer.go
+++ b/internal/standin/fleet/balancer.go
@@ -31,7 +31,9 @@
 	draining bool
 	started  clock.Millis
 	misses   int
-	heard    map[netip.AddrPort]bool
+	// deafUntil is when reports reach this balancer again.
+	deafUntil clock.Millis
+	heard     map[netip.AddrPort]bool
 }
 
 func newBalancerHost(w *World, index int) *balancerHost {
@@ -81,6 +83,9 @@
 // complete reports whether all sidecars have reported, as the directory and peers
 // would tell.
 func (b *balancerHost) complete() bool {
+	if b.world.config.Mutant == AbsenceGuessed {
+		return true
+	}
 	if b.world.now-b.started < settleTime {
 		return false
 	}
@@ -125,8 +130,15 @@
 		b.world.fault("balancer %d sent an unreadable message: %v", b.index, err)
 		return
 	}
+	if m.Kind == relay.KindSearch && b.world.config.Mutant == ResetOnDoubt {
+		h := decode(m.Packet)
+		b.world.toClient(platform.EncodeReset(keyOf(h.from, h.to), h.ack))
+	}
 	for _, u := range b.world.upstreams {
 		if u.address == to && !u.removed {
+			if b.world.config.Mutant == AnyService {
+				m.Service = platform.ServiceID(serviceName(u.service))
+			}
 			u.receive(func() { u.machine.HandleMessage(b.world.now, b.address, m) })
 		}
 	}
--- a/internal/standin/fleet/client.go
+++ b/internal/standin/fleet/client.go
@@ -39,6 +39,8 @@
 	ended      bool
 	sequence   uint32
 	server     uint32
+	// asked are the requests that were sent on this flow.
+	asked map[uint64]bool
 }
 
 // Open makes a client open a flow and send a number of requests on it, one after the
@@ -51,7 +53,7 @@
 	w.clients++
 	ip := netip.AddrFrom4([4]byte{100, 64, byte(w.clients >> 15), byte(w.clients >> 7)})
 	x.client = netip.AddrPortFrom(ip, uint16(1024+w.clients%128))
-	x.world, x.sequence = w, w.random.Uint32()
+	x.world, x.sequence, x.asked = w, w.random.Uint32(), map[uint64]bool{}
 	w.exchanges[x.client] = x
 	if x.request == 0 {
 		x.newRequest()
@@ -101,6 +103,7 @@
 	if x.ended || x.request != request {
 		return
 	}
+	x.asked[request] = true
 	x.send(header{
 		from: x.client, to: x.service, flags: flagAck, sequence: x.sequence + 1, ack: x.server, sum: senderSum, request: request,
 	})
@@ -135,10 +138,11 @@
 }
 
 func (x *exchange) handleAnswer(h header) {
+	if !x.asked[h.request] || x.world.runs[h.request] == 0 {
+		x.world.fault("client %s got the answer of request %d", x.client, h.request)
+		return
+	}
 	if h.request != x.request {
-		if h.request > x.world.requests || x.world.runs[h.request] == 0 {
-			x.world.fault("client %s got the answer of request %d", x.client, h.request)
-		}
 		return
 	}
 	x.world.served++
--- a/internal/standin/fleet/faults.go
+++ b/internal/standin/fleet/faults.go
@@ -56,6 +56,7 @@
 	u.heartbeat(registration.Heartbeat{
 		ID: u.id, Service: serviceName(u.service), Address: u.app, Born: u.bornAt, Sequence: u.sequence, Draining: true, Slots: slots,
 	})
+	w.after(drainLimit+clock.Second, func() { w.DelayedHeartbeat(index) })
 	w.after(6*clock.Second, func() { u.leave() })
 }
 
@@ -71,7 +72,7 @@
 }
 
 // ReuseAddress ends an upstream and its sidecar for good and gives their address to
-// another service.
+// another service. One balancer misses the reports of that time.
 func (w *World) ReuseAddress(index, service int) {
 	u := w.upstreams[index]
 	if u.removed || u.service == service {
@@ -79,7 +80,8 @@
 	}
 	u.alive, u.up = false, false
 	u.run++
-	w.after(2*clock.Second, func() {
+	w.balancers[w.random.IntN(len(w.balancers))].deafUntil = w.now + clock.Second
+	w.after(clock.Millis(w.random.IntN(int(clock.Second))), func() {
 		u.service = service
 		u.startUpstream()
 		u.startSidecar()
--- a/internal/standin/fleet/fleet_test.go
+++ b/internal/standin/fleet/fleet_test.go
@@ -125,6 +125,32 @@
 	}
 }
 
+// faulty runs a world through random faults.
+func faulty(config fleet.Config) *fleet.World {
+	w := fleet.New(config)
+	w.Run(2 * clock.Second)
+	for range 20 {
+		fault(w, config.Balancers, config.Services)
+		load(w, config.Services, 1)
+	}
+	return w
+}
+
+// Guards against an oracle that does not see what it is there for.
+func TestMutants(t *testing.T) {
+	for _, mutant := range fleet.Mutants() {
+		t.Run(fmt.Sprint(mutant), func(t *testing.T) {
+			c := qt.New(t)
+			caught := 0
+			for s := range uint64(6) {
+				w := faulty(fleet.Config{Seed: *seed + s, Balancers: 4, Upstreams: 3, Services: 2, Mutant: mutant})
+				caught += len(w.Faults())
+			}
+			c.Assert(caught > 0, qt.IsTrue)
+		})
+	}
+}
+
 // Guards against broken rules under overlapping faults: a flow opened at another
 // service or long after a drain, a live flow that is reset, an answer for another
 // request, and a refusal of a request that has run.
@@ -133,14 +159,9 @@
 	for s := *seed; s < *seed+uint64(*seeds); s++ {
 		t.Run(fmt.Sprint(s), func(t *testing.T) {
 			c := qt.New(t)
-			w := fleet.New(fleet.Config{
+			w := faulty(fleet.Config{
 				Seed: s, Steady: s%2 == 0, Balancers: balancers, Upstreams: 3, Services: services, Loss: float64(s%3) / 100,
 			})
-			w.Run(2 * clock.Second)
-			for range 20 {
-				fault(w, balancers, services)
-				load(w, services, 1)
-			}
 			w.Run(5 * clock.Second)
 			unserved := w.Unserved()
 			load(w, services, 3)
--- a/internal/standin/fleet/upstream.go
+++ b/internal/standin/fleet/upstream.go
@@ -37,6 +37,8 @@
 	removed      bool
 	learnUntil   clock.Millis
 	born         int64
+	// drained is the start of the upstream that drains, as the store has it.
+	drained int64
 
 	// The upstream and its current incarnation.
 	alive    bool
@@ -86,6 +88,7 @@
 	u.run++
 	u.up, u.born = true, 0
 	u.registration = registration.New(registration.Config{Address: u.app, Service: serviceName(u.service)})
+	u.registration.Restore(u.drained)
 	u.machine = sidecar.New(sidecar.Config{
 		Decode: platform.DecodeSegment, ClearReturned: platform.ClearReturned,
 		ToUpstream: func(packet []byte) {
@@ -94,11 +97,12 @@
 				u.world.after(0, func() { u.handle(h, raw) })
 			}
 		},
-		ToClient: func(_ netip.Addr, packet []byte) { u.world.toClient(append([]byte(nil), packet...)) },
+		ToClient: func(_ netip.Addr, packet []byte) { u.world.toClient(u.swapped(packet)) },
 		Self:     u.address,
 		ToPeer:   u.toPeer,
 	})
-	u.machine.SetLearning(true)
+	u.machine.SetService(platform.ServiceID(serviceName(u.service)))
+	u.machine.SetLearning(u.world.config.Mutant != NothingLearned)
 	u.report(u.run)
 }
 
@@ -118,13 +122,20 @@
 		u.world.fault("sidecar %d sent an unreadable message: %v", u.index, err)
 		return
 	}
+	switch {
+	case m.Kind == relay.KindAccepted && u.world.config.Mutant == AcceptedRefused:
+		m.Kind = relay.KindRefused
+	case m.Kind == relay.KindAbsent && u.world.config.Mutant == AbsenceGuessed:
+		m.Asked = uint16(len(u.world.upstreams))
+		to = u.world.balancers[u.world.random.IntN(len(u.world.balancers))].address
+	}
 	for _, sibling := range u.world.upstreams {
 		if sibling.address == to {
 			sibling.receive(func() { sibling.machine.HandleMessage(u.world.now, u.address, m) })
 		}
 	}
 	for _, b := range u.world.balancers {
-		if b.address == to {
+		if b.address == to && (m.Kind != relay.KindReport || u.world.now >= b.deafUntil) {
 			b.receive(func() {
 				b.heard[u.address] = true
 				b.machine.HandleSidecar(u.world.now, u.address, m)
@@ -133,6 +144,26 @@
 	}
 }
 
+// swapped returns a packet for a client. With the mutant, a response goes to the open
+// flow with the lowest address.
+func (u *upstreamHost) swapped(packet []byte) []byte {
+	raw := append([]byte(nil), packet...)
+	h := decode(raw)
+	if u.world.config.Mutant != ResponsesSwapped || h.request == 0 {
+		return raw
+	}
+	var other netip.AddrPort
+	for client, x := range u.world.exchanges {
+		if x.open && !x.ended && client != h.to && (!other.IsValid() || client.Compare(other) < 0) {
+			other = client
+		}
+	}
+	if other.IsValid() {
+		h.to = other
+	}
+	return h.encode()
+}
+
 // report tells balancers the state of the upstream.
 func (u *upstreamHost) report(run int) {
 	if !u.up || u.run != run || u.removed {
@@ -184,7 +215,13 @@
 
 // heartbeat gives a heartbeat to the sidecar.
 func (u *upstreamHost) heartbeat(h registration.Heartbeat) {
-	if !u.up || u.registration.Heartbeat(u.world.now, h) != registration.Applied {
+	if !u.up {
+		return
+	}
+	if u.world.config.Mutant == LateHeartbeats {
+		u.registration = registration.New(registration.Config{Address: u.app, Service: serviceName(u.service)})
+	}
+	if u.registration.Heartbeat(u.world.now, h) != registration.Applied {
 		return
 	}
 	if u.born != h.Born {
@@ -196,10 +233,15 @@
 		u.born, u.learnUntil = h.Born, u.world.now+flowLifetime
 	}
 	if u.registration.Accepting() {
-		u.machine.Serve(platform.ServiceID(h.Service))
+		u.machine.Serve()
 		return
 	}
-	u.machine.Refuse(relay.ReasonDraining)
+	if u.world.config.Mutant != DrainIgnored {
+		u.machine.Refuse(relay.ReasonDraining)
+	}
+	if h.Draining {
+		u.drained = h.Born
+	}
 	if h.Born == u.bornAt && u.acknowledged == 0 {
 		u.acknowledged = u.world.now
 	}
--- a/internal/standin/fleet/world.go
+++ b/internal/standin/fleet/world.go
@@ -39,6 +39,41 @@
 	Balancers, Upstreams, Services int
 	// Loss is the share of datagrams that are lost.
 	Loss float64
+	// Mutant breaks one mechanism, to try the oracle.
+	Mutant Mutant
+}
+
+// Mutant is a mechanism that is broken on purpose.
+type Mutant int
+
+// Mutants.
+const (
+	// DrainIgnored keeps offering new flows to an upstream that drains.
+	DrainIgnored Mutant = iota + 1
+	// AnyService lets packets of any service enter an upstream.
+	AnyService
+	// AbsenceGuessed takes one answer for those of all sidecars.
+	AbsenceGuessed
+	// LateHeartbeats applies heartbeats whatever their age.
+	LateHeartbeats
+	// NothingLearned lets a restarted sidecar believe that its upstream holds no flow.
+	NothingLearned
+	// AcceptedRefused reports flows that the upstream has accepted as refused.
+	AcceptedRefused
+	// ResponsesSwapped delivers a response to the client before.
+	ResponsesSwapped
+	// ResetOnDoubt resets a flow when its owner is asked for.
+	ResetOnDoubt
+	mutantEnd
+)
+
+// Mutants returns all mutants.
+func Mutants() []Mutant {
+	var all []Mutant
+	for m := DrainIgnored; m < mutantEnd; m++ {
+		all = append(all, m)
+	}
+	return all
 }
 
 // World is the whole stand-in. It is not safe for concurrent use.
