configuration: Ask often and ask peers before the first configuration

Cause: after all processes were killed while the store was away, balancers noticed its return up to 1.6 s later, and waited 750 ms before they asked a peer. Change: at most 300 ms between calls before the first configuration; a balancer without one asks the first peer that has one at once. Test: TestBackoffAtTheStart.

--- a/internal/flow/configuration/follower.go
+++ b/internal/flow/configuration/follower.go
@@ -18,6 +18,9 @@
 	// store is not flooded and its return is noticed within a second.
 	minBackoff clock.Millis = 100
 	maxBackoff clock.Millis = 800
+	// startBackoff is the longest time between failed calls before the first
+	// configuration, without which nothing is served.
+	startBackoff clock.Millis = 150
 )
 
 // ErrCompacted is the error of a watch whose history the store has dropped.
@@ -53,6 +56,8 @@
 	revision uint64
 	backoff  clock.Millis
 	lost     bool
+	// started tells that a configuration was read.
+	started bool
 }
 
 // New returns a Follower.
@@ -74,7 +79,7 @@
 		}
 		f.revision = 0
 		wait := f.backoff + clock.Millis(f.config.Random(int(f.backoff)))
-		f.backoff = min(2*f.backoff, maxBackoff)
+		f.backoff = min(2*f.backoff, f.longest())
 		if f.config.Sleep(ctx, wait) != nil {
 			break
 		}
@@ -82,6 +87,14 @@
 	return nil
 }
 
+// longest returns the longest time between failed calls.
+func (f *Follower) longest() clock.Millis {
+	if f.started {
+		return maxBackoff
+	}
+	return startBackoff
+}
+
 // Step makes one call: a read if the revision is not known, otherwise a watch.
 //
 // A watch goes on from the last read or change and not from the revision that an
@@ -113,6 +126,7 @@
 
 func (f *Follower) apply(document Document) {
 	f.revision = document.Revision
+	f.started = true
 	if err := f.config.Apply(document.Content); err != nil {
 		f.config.Rejected(err)
 	}
--- a/internal/flow/configuration/follower_test.go
+++ b/internal/flow/configuration/follower_test.go
@@ -84,18 +84,33 @@
 func TestBackoff(t *testing.T) {
 	c := qt.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &store{err: errDown}
+	s := &store{document: configuration.Document{Revision: 5}}
 	f := configurationAfter(s, 6, cancel)
+	c.Assert(f.Step(ctx), qt.IsNil)
+	s.err = errDown
 	c.Assert(f.Serve(ctx), qt.IsNil)
 	c.Assert(s.waits, qt.DeepEquals, []clock.Millis{100, 200, 400, 800, 800, 800})
 	c.Assert(s.states, qt.HasLen, 1)
 	c.Assert(s.states[0], qt.ErrorIs, errDown)
 }
 
+// Guards against a start that waits long after the store has returned.
+func TestBackoffAtTheStart(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &store{err: errDown}
+	c.Assert(configurationAfter(s, 4, cancel).Serve(ctx), qt.IsNil)
+	c.Assert(s.waits, qt.DeepEquals, []clock.Millis{100, 150, 150, 150})
+}
+
 // configurationAfter returns a follower whose context ends after some waits.
 func configurationAfter(s *store, waits int, cancel func()) *configuration.Follower {
 	return configuration.New(configuration.Config{
-		Read:     func(context.Context) (configuration.Document, error) { return s.document, s.err },
+		Read: func(context.Context) (configuration.Document, error) { return s.document, s.err },
+		Watch: func(context.Context, uint64, clock.Millis) (configuration.Document, bool, error) {
+			return s.document, false, s.err
+		},
+		Apply:    func([]byte) error { return nil },
 		Changed:  func(err error) { s.states = append(s.states, err) },
 		Rejected: func(error) {},
 		Random:   func(int) int { return 0 },
--- a/internal/flow/node/balancer.go
+++ b/internal/flow/node/balancer.go
@@ -57,6 +57,8 @@
 	peers     *http.Client
 	// armed tells that a timer waits for the next late answer.
 	armed bool
+	// fetches are the peers to be asked for their configuration.
+	fetches chan netip.Addr
 	// digests counts the digests sent.
 	digests int
 	// packet is the time of the last packet of a client.
@@ -77,7 +79,7 @@
 	}
 	defer b.close()
 	n := &balancerNode{
-		base: b, sidecars: roster.New(s.RelayAddress.Addr()),
+		base: b, sidecars: roster.New(s.RelayAddress.Addr()), fetches: make(chan netip.Addr, 1),
 		peers: &http.Client{Timeout: peerTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	n.machine = balancer.New(balancer.Config{
@@ -116,6 +118,7 @@
 		Rejected: func(err error) { n.logger.Warn("configuration-rejected", zap.Error(err)) },
 		Sleep:    sleep, Random: random,
 	}).Serve)
+	n.tree.Add("peer-configuration", n.serveFetches)
 	n.tree.Add("directory", n.directory.serve)
 	if err := n.addSettings(n.applySettings); err != nil {
 		return err
@@ -199,6 +202,9 @@
 	if d.Version > n.newer {
 		n.newer, n.newerAt, n.newerSince = d.Version, from, now
 	}
+	if d.Version > 0 && n.machine.Table() == nil {
+		n.requestFetch(from)
+	}
 }
 
 // learn contacts hosts that are new here.
@@ -266,8 +272,9 @@
 
 // sendDigests tells others what this balancer knows, and asks a peer for a
 // configuration that the store has not delivered.
-func (n *balancerNode) sendDigests(ctx context.Context) {
+func (n *balancerNode) sendDigests(context.Context) {
 	n.mutex.Lock()
+	defer n.mutex.Unlock()
 	now := n.clock.Now()
 	n.machine.Tick(now)
 	n.balancers.Learned(now, n.seedHosts())
@@ -278,9 +285,29 @@
 	n.digestTo(now, append(n.balancers.Live(now), n.sidecars.Live(now)...), lists)
 	n.digestTo(now, append(n.balancers.Silent(now), n.sidecars.Silent(now)...), false)
 	behind, peer := n.newer > n.machine.Table().Version() && now-n.newerSince >= peerDelay, n.newerAt
-	n.mutex.Unlock()
 	if behind {
-		n.fetch(ctx, peer)
+		n.requestFetch(peer)
+	}
+}
+
+// requestFetch asks a peer for its configuration in the background, unless one is being
+// asked.
+func (n *balancerNode) requestFetch(peer netip.Addr) {
+	select {
+	case n.fetches <- peer:
+	default:
+	}
+}
+
+// serveFetches asks peers for their configuration.
+func (n *balancerNode) serveFetches(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case peer := <-n.fetches:
+			n.fetch(ctx, peer)
+		}
 	}
 }
 
