--- a/internal/flow/balancer/opening.go
+++ b/internal/flow/balancer/opening.go
@@ -24,8 +24,8 @@
 	// unanswered counts the sidecars that were asked and have not answered, so that
 	// their upstreams may have accepted the flow.
 	unanswered int
-	// deadline is the time until which the sidecar asked last may answer.
-	deadline clock.Millis
+	// asked is when the last sidecar was asked, and deadline until when it may answer.
+	asked, deadline clock.Millis
 	// waiting tells that no sidecar was there to be asked.
 	waiting bool
 }
@@ -99,7 +99,7 @@
 			o.tried = append(o.tried, c.address)
 			o.waiting = false
 			o.unanswered++
-			o.deadline = now + b.answers.timeout()
+			o.asked, o.deadline = now, now+b.answers.timeout()
 			heap.Push(&b.openings, attempt{opening: o, deadline: o.deadline})
 			c.placed++
 			f.owner = c.address
@@ -194,8 +194,9 @@
 	}
 	f.seen = now
 	f.owner, f.accepted = from, true
-	if f.opening != nil {
-		b.answers.observe(now - f.opening.began)
+	if o := f.opening; o != nil && len(o.tried) == 1 {
+		// With more than one sidecar asked, the time from which to count is not known.
+		b.answers.observe(now - o.asked)
 	}
 	f.opening = nil
 	b.count(Event{Outcome: OutcomeAccepted, Key: key, Sidecar: from})
--- a/internal/flow/balancer/sidecar.go
+++ b/internal/flow/balancer/sidecar.go
@@ -21,9 +21,11 @@
 	flowCost = 0.03
 	// warmupCost multiplies the load of an upstream that has just started.
 	warmupCost = 1.6
-	// remoteCost is added to the load per slot of a sidecar in another data
-	// centre, because bytes between data centres are priced.
+	// remoteCost is added to the load per slot of a sidecar in another data centre,
+	// to save traffic between data centres.
 	remoteCost = 0.1
+	// lateCost is added for a sidecar that did not answer, so that it is chosen last.
+	lateCost = 100
 	// fullFactor is how many requests for each slot an upstream may have before new
 	// flows go elsewhere, and fullWait how long a new flow waits for one with fewer.
 	// After that the upstream itself decides, while the latency goal can be met.
@@ -79,7 +81,7 @@
 		cost += remoteCost
 	}
 	if c.isLate && now-c.lateAt < latePenalty {
-		cost += 100
+		cost += lateCost
 	}
 	return cost
 }
--- a/internal/flow/node/node.go
+++ b/internal/flow/node/node.go
@@ -138,8 +138,10 @@
 		b.logger.Info("draining")
 		drain(ctx)
 	}
+	cancel()
+	err := <-served
 	b.logger.Info("stopped")
-	return nil
+	return err
 }
 
 // addReader adds a part that hands every datagram of a socket to handle.
--- a/internal/flow/sidecar/sidecar.go
+++ b/internal/flow/sidecar/sidecar.go
@@ -9,7 +9,6 @@
 
 	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/internal/common/identity"
-	"github.com/orioledyke/orioledyke/internal/flow/agent"
 	"github.com/orioledyke/orioledyke/internal/flow/relay"
 	"github.com/orioledyke/orioledyke/internal/flow/segment"
 )
@@ -139,52 +138,6 @@
 	counts [OutcomeCount]uint64
 }
 
-// flow is one flow of the upstream, or one that was offered to it.
-type flow struct {
-	state state
-	// asker is the balancer that gets the answer to the last packet.
-	asker netip.AddrPort
-	// agent is the sidecar that searches the owner of the flow for the asker. It is
-	// not valid for a packet that the asker sent here itself.
-	agent netip.AddrPort
-	// opened is the time of the first packet, and agents know this owner.
-	opened clock.Millis
-	agents agent.Selection
-	// first is the position of the upstream's first byte.
-	first          uint32
-	seen           clock.Millis
-	busySince      clock.Millis
-	busy           bool
-	request        request
-	clientFinished bool
-	serverFinished bool
-}
-
-// finished reports whether both ends have sent all their data.
-func (f *flow) finished() bool { return f.clientFinished && f.serverFinished }
-
-// request is the last request of a flow, for logs.
-type request struct {
-	id      string
-	arrived clock.Millis
-	active  int
-}
-
-// state is the progress of a flow.
-type state int
-
-const (
-	// stateOffered means that the upstream has not answered yet.
-	stateOffered state = iota
-	// stateProbed means that the upstream got a packet of a flow that this process
-	// does not know.
-	stateProbed
-	// stateAccepted means that the upstream has accepted the flow.
-	stateAccepted
-	// stateOpen means that the client has acknowledged the upstream's answer.
-	stateOpen
-)
-
 // New returns a Sidecar that refuses new flows until SetService and Serve are called.
 func New(config Config) *Sidecar {
 	if config.Observe == nil {
@@ -483,64 +436,6 @@
 	}
 }
 
-// trackRequest counts a request as work from its last packet until the upstream sends
-// data. The packets before are full: an upload takes a slot only when it is complete.
-func (s *Sidecar) trackRequest(now clock.Millis, f *flow, p segment.Segment) {
-	f.clientFinished = f.clientFinished || p.Ends
-	if p.Length == 0 || p.Length == s.config.FullLength {
-		return
-	}
-	if !f.busy && !f.serverFinished {
-		f.busy = true
-		s.active++
-	}
-	f.busySince = now
-}
-
-// noteRequest remembers the request that begins in a client's packet.
-func (s *Sidecar) noteRequest(now clock.Millis, f *flow, p segment.Segment, packet []byte) {
-	if s.config.RequestID == nil || p.Length == 0 {
-		return
-	}
-	if id := s.config.RequestID(packet); id != "" && id != f.request.id {
-		f.request = request{id: id, arrived: now, active: s.active}
-		s.count(Event{
-			Outcome: OutcomeReceived, Key: p.Key, Balancer: f.asker, Load: s.Load(), Request: id, Active: s.active,
-		})
-	}
-}
-
-// noteResponse reports the response that begins in a packet of the upstream.
-func (s *Sidecar) noteResponse(now clock.Millis, f *flow, p segment.Segment, packet []byte) {
-	if s.config.Status == nil || p.Length == 0 || f.request.id == "" {
-		return
-	}
-	switch status := s.config.Status(packet); {
-	case status == 0:
-	case status < firstFailure:
-		s.report(OutcomeAnswered, p.Key, f, status, now)
-	default:
-		s.report(OutcomeFailed, p.Key, f, status, now)
-	}
-}
-
-// report reports the outcome of the last request of a flow.
-func (s *Sidecar) report(outcome Outcome, key segment.Key, f *flow, status int, now clock.Millis) {
-	s.count(Event{
-		Outcome: outcome, Key: key, Balancer: f.asker, Load: s.Load(),
-		Request: f.request.id, Status: status, Active: f.request.active, Took: now - f.request.arrived,
-	})
-	f.request = request{}
-}
-
-func (s *Sidecar) trackResponse(f *flow, p segment.Segment) {
-	f.serverFinished = f.serverFinished || p.Ends
-	if (p.Length > 0 || p.Ends) && f.busy {
-		f.busy = false
-		s.active--
-	}
-}
-
 func (s *Sidecar) remove(key segment.Key, f *flow) {
 	if s.flows[key] != f {
 		return
