--- a/internal/flow/node/metrics.go
+++ b/internal/flow/node/metrics.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"net/netip"
+
 	"github.com/orioledyke/orioledyke/internal/flow/balancer"
 	"github.com/orioledyke/orioledyke/internal/flow/sidecar"
 	"github.com/prometheus/client_golang/prometheus"
@@ -51,9 +53,30 @@
 	case balancer.OutcomeAccepted, balancer.OutcomeInvalid:
 		return
 	}
-	n.logger.Info("flow-"+e.Outcome.String(), zap.Stringer("flow", e.Key), zap.Stringer("sidecar", e.Sidecar),
-		zap.String("reason", e.Reason.String()), zap.Uint64("version", e.Version),
-		zap.Int64("age-ms", int64(e.Age)), zap.Int("attempt", e.Attempt))
+	fields := append(n.fields[:0], zap.Stringer("flow", e.Key))
+	fields = appendAddress(fields, "sidecar", e.Sidecar)
+	if e.Reason != 0 {
+		fields = append(fields, zap.Stringer("reason", e.Reason))
+	}
+	if e.Version != 0 {
+		fields = append(fields, zap.Uint64("version", e.Version))
+	}
+	if e.Age != 0 {
+		fields = append(fields, zap.Int64("age-ms", int64(e.Age)))
+	}
+	if e.Attempt != 0 {
+		fields = append(fields, zap.Int("attempt", e.Attempt))
+	}
+	n.fields = fields
+	n.logger.Info("flow-"+e.Outcome.String(), fields...)
+}
+
+// appendAddress appends a field unless the address is not set.
+func appendAddress(fields []zap.Field, key string, address netip.AddrPort) []zap.Field {
+	if !address.IsValid() {
+		return fields
+	}
+	return append(fields, zap.Stringer(key, address))
 }
 
 func (n *sidecarNode) registerMetrics() {
@@ -72,21 +95,33 @@
 		func() float64 { return float64(n.machine.Load().Active) })
 }
 
-// observe logs a decision about a flow.
+// observe logs a decision about a flow or request.
 func (n *sidecarNode) observe(e sidecar.Event) {
 	switch e.Outcome {
 	case sidecar.OutcomeOffered, sidecar.OutcomeInvalid:
 		return
+	case sidecar.OutcomeAnswered:
+		n.latency.Observe(e.Took.Duration().Seconds())
 	}
+	fields := append(n.fields[:0], zap.Stringer("flow", e.Key))
+	fields = appendAddress(fields, "balancer", e.Balancer)
+	fields = appendAddress(fields, "sibling", e.Sibling)
+	if e.Reason != 0 {
+		fields = append(fields, zap.Stringer("reason", e.Reason))
+	}
+	kind := "flow-"
 	if e.Request != "" {
-		if e.Outcome == sidecar.OutcomeAnswered {
-			n.latency.Observe(e.Took.Duration().Seconds())
+		kind = "request-"
+		fields = append(fields, zap.String("request", e.Request), zap.Int("active", e.Active))
+		if e.Took != 0 {
+			fields = append(fields, zap.Int64("took-ms", int64(e.Took)))
 		}
-		n.logger.Info("request-"+e.Outcome.String(), zap.String("request", e.Request), zap.Stringer("flow", e.Key),
-			zap.Stringer("balancer", e.Balancer), zap.Int("status", e.Status),
-			zap.Int64("took-ms", int64(e.Took)), zap.Int("active", e.Active))
-		return
+		if e.Status != 0 {
+			fields = append(fields, zap.Int("status", e.Status))
+		}
+	} else {
+		fields = append(fields, zap.Uint16("active", e.Load.Active), zap.Uint16("flows", e.Load.Flows))
 	}
-	n.logger.Info("flow-"+e.Outcome.String(), zap.Stringer("flow", e.Key), zap.Stringer("balancer", e.Balancer),
-		zap.Stringer("sibling", e.Sibling), zap.String("reason", e.Reason.String()), zap.Uint16("active", e.Load.Active), zap.Uint16("flows", e.Load.Flows))
+	n.fields = fields
+	n.logger.Info(kind+e.Outcome.String(), fields...)
 }
--- a/internal/flow/node/node.go
+++ b/internal/flow/node/node.go
@@ -70,6 +70,8 @@
 	mutex     sync.Mutex
 	balancers *roster.Roster
 	stopping  bool
+	// fields are those of the last log line about a flow, for the next one.
+	fields []zap.Field
 }
 
 func newBase(options Options, s settings.FlowProcess) (*base, error) {
