flow: Admit new flows by work and latency goal

Cause: after an outage of all hosts the requests of that second and their repetitions arrive within the next one.

One that is late already gets idle slots only. A balancer asks others, and keeps the request while all are busy; the newest waiting request goes first, and one whose client has given up is dropped.

--- a/internal/flow/balancer/balancer.go
+++ b/internal/flow/balancer/balancer.go
@@ -19,9 +19,6 @@
 	// between data centres, and less than the 200 ms after which clients repeat.
 	minAnswerTimeout clock.Millis = 30
 	maxAnswerTimeout clock.Millis = 150
-	// openingLife is how long a flow may take to open. Clients give up after
-	// 1.4 s.
-	openingLife = 2 * clock.Second
 	// maxAttempts limits the sidecars that are asked for one new flow.
 	maxAttempts = 4
 	// defaultIdle is how long an idle flow is remembered when the configuration
@@ -33,7 +30,7 @@
 	waitTime      clock.Millis = 250
 	startWaitTime clock.Millis = 1300
 	// waitPoll is the time between two looks at a waiting request.
-	waitPoll clock.Millis = 50
+	waitPoll clock.Millis = 20
 	// maxFlows bounds the memory: about 200 bytes for each flow.
 	maxFlows = 100_000
 )
@@ -60,12 +57,14 @@
 	OutcomeLost
 	OutcomeLinkFull
 	OutcomeUnresolved
+	OutcomeExpired
 	OutcomeCount
 )
 
 var outcomeNames = [OutcomeCount]string{
 	"placed", "moved-on", "timed-out", "forwarded", "searched", "reset", "no-route", "no-sidecar",
 	"invalid", "limited", "not-held", "claimed", "accepted", "waiting", "lost", "link-full", "unresolved",
+	"expired",
 }
 
 // String returns the name of the outcome in metrics and logs.
@@ -117,8 +116,10 @@
 	// changed are the services whose members have changed.
 	changed map[identity.ServiceID]bool
 	flows   map[segment.Key]*flow
-	// waiting are the requests for which no sidecar was there.
-	waiting []*opening
+	// waiting are the requests for which no sidecar can be asked now, and nextPoll is
+	// the time of the next look at them.
+	waiting  []*opening
+	nextPoll clock.Millis
 	// openings are the requests that wait for an answer, in order of their deadlines.
 	openings attempts
 	answers  latency
@@ -281,7 +282,10 @@
 }
 
 func (b *Balancer) forward(to netip.AddrPort, kind relay.Kind, service identity.ServiceID, packet []byte) {
-	m := relay.Message{Kind: kind, Service: service, Packet: packet}
+	b.sendTo(to, relay.Message{Kind: kind, Service: service, Packet: packet})
+}
+
+func (b *Balancer) sendTo(to netip.AddrPort, m relay.Message) {
 	data, err := m.Append(b.buffer[:0])
 	if err != nil {
 		b.count(Event{Outcome: OutcomeInvalid})
@@ -299,10 +303,14 @@
 // NextDeadline returns the time at which Tick has something to do, or 0 if no
 // answer is awaited.
 func (b *Balancer) NextDeadline() clock.Millis {
-	if len(b.openings) == 0 {
-		return 0
+	var next clock.Millis
+	if len(b.waiting) > 0 {
+		next = b.nextPoll
+	}
+	if len(b.openings) > 0 && (next == 0 || b.openings[0].deadline < next) {
+		next = b.openings[0].deadline
 	}
-	return b.openings[0].deadline
+	return next
 }
 
 // Tick forgets old state and asks other sidecars where no answer came.
--- a/internal/flow/balancer/balancer_test.go
+++ b/internal/flow/balancer/balancer_test.go
@@ -56,6 +56,8 @@
 	// forwards are the addresses that packets were sent to, or toSearch.
 	forwards []string
 	resets   int
+	// messages are all datagrams to sidecars.
+	messages []relay.Message
 }
 
 func newHarness(t *testing.T) *harness { return newHarnessWithLink(t, 0) }
@@ -71,6 +73,8 @@
 		ToSidecar: func(to netip.AddrPort, data []byte) {
 			m, err := relay.Decode(data)
 			h.c.Assert(err, qt.IsNil)
+			m.Packet = append([]byte(nil), m.Packet...)
+			h.messages = append(h.messages, m)
 			text := to.String()
 			if m.Kind == relay.KindSearch {
 				text = toSearch
@@ -82,7 +86,10 @@
 		Complete: func() bool { return h.complete },
 	})
 	h.balancer.SetTable(route.NewTable(route.Config{Version: 1, Routes: []route.Route{
-		{Address: address, Targets: []route.Target{{Service: portal, Weight: 1}}, Bulk: rate > 0},
+		{
+			Address: address, Targets: []route.Target{{Service: portal, Weight: 1}}, Bulk: rate > 0,
+			LatencyGoal: 120, Timeout: 1200,
+		},
 	}}))
 	return h
 }
--- a/internal/flow/balancer/bulk.go
+++ b/internal/flow/balancer/bulk.go
@@ -16,10 +16,8 @@
 	// bulkPatience is how long a new bulk flow waits for others to end. Clients
 	// repeat their request after 200 ms.
 	bulkPatience clock.Millis = 180
-	// bulkPoll is the time between two looks at a waiting flow.
-	bulkPoll    clock.Millis = 20
-	bitsPerByte              = 8
-	kilobit                  = 1000
+	bitsPerByte               = 8
+	kilobit                   = 1000
 )
 
 // bulkLimit returns how many bulk flows may send at a time on a link of the given
--- a/internal/flow/balancer/opening.go
+++ b/internal/flow/balancer/opening.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"container/heap"
 	"net/netip"
 	"slices"
@@ -12,6 +13,12 @@
 	"github.com/orioledyke/orioledyke/internal/flow/segment"
 )
 
+// maxOpeningLife is how long clients wait at most for a flow to open.
+const maxOpeningLife clock.Millis = 1400
+
+// copyTimes are the times at which clients send the copies of a request for a flow.
+var copyTimes = [...]clock.Millis{0, 200, 600}
+
 // opening is a new flow that no upstream has accepted yet.
 type opening struct {
 	key     segment.Key
@@ -19,17 +26,27 @@
 	packet  []byte
 	// copies is the highest copy of the client's request seen; 0 is the first one.
 	copies uint32
-	began  clock.Millis
-	tried  []netip.AddrPort
+	// began is when the client sent its first copy, as far as is known.
+	began clock.Millis
+	// goal is the latency goal of the route, and life how long the client waits for the
+	// flow to open.
+	goal, life clock.Millis
+	tried      []netip.AddrPort
 	// unanswered counts the sidecars that were asked and have not answered, so that
 	// their upstreams may have accepted the flow.
 	unanswered int
 	// asked is when the last sidecar was asked, and deadline until when it may answer.
 	asked, deadline clock.Millis
-	// waiting tells that no sidecar was there to be asked.
-	waiting bool
+	// waiting tells that no sidecar can be asked now, and waited that this was so before.
+	waiting, waited bool
 }
 
+// late reports whether the client has waited longer than the latency goal.
+func (o *opening) late(now clock.Millis) bool { return o.goal > 0 && now-o.began > o.goal }
+
+// expired reports whether the client has given the flow up.
+func (o *opening) expired(now clock.Millis) bool { return now-o.began > o.life }
+
 // attempt is a request to one sidecar. It is obsolete when its opening has another
 // deadline.
 type attempt struct {
@@ -77,10 +94,15 @@
 		f = b.remember(now, s.Key)
 		f.owner, f.accepted = netip.AddrPort{}, false
 		f.service, f.bulk = r.Service(s.Key), r.Bulk
-		f.opening = &opening{key: s.Key, service: f.service, packet: bytes.Clone(packet), began: now}
+		f.opening = &opening{
+			key: s.Key, service: f.service, packet: bytes.Clone(packet), began: now - copyAge(copies),
+			goal: r.LatencyGoal, life: openingLife(r.Timeout),
+		}
 	}
 	f.opening.copies = max(f.opening.copies, copies)
-	b.ask(now, f, f.opening, 0)
+	if !f.opening.waiting {
+		b.ask(now, f, f.opening, 0)
+	}
 }
 
 // ask sends the request to the best sidecar that has not been asked. If there is
@@ -90,20 +112,22 @@
 		b.waitForLink(now, f, o)
 		return
 	}
+	c, full := b.pick(now, o)
 	if len(o.tried) < maxAttempts {
-		if c := b.pick(now, o); c != nil {
+		if c != nil {
 			outcome := OutcomePlaced
 			if len(o.tried) > 0 {
 				outcome = OutcomeMovedOn
 			}
 			o.tried = append(o.tried, c.address)
-			o.waiting = false
 			o.unanswered++
 			o.asked, o.deadline = now, now+b.answers.timeout()
 			heap.Push(&b.openings, attempt{opening: o, deadline: o.deadline})
 			c.placed++
 			f.owner = c.address
-			b.forward(c.address, relay.KindForward, o.service, o.packet)
+			b.sendTo(c.address, relay.Message{
+				Kind: relay.KindForward, Service: o.service, Goal: o.goal, Late: o.late(now), Packet: o.packet,
+			})
 			b.count(Event{
 				Outcome: outcome, Key: o.key, Sidecar: c.address, Reason: reason,
 				Version: b.table.Version(), Age: now - c.heard, Attempt: len(o.tried),
@@ -114,7 +138,7 @@
 	if o.unanswered > 0 {
 		return
 	}
-	if len(o.tried) == 0 && now-o.began < b.patience() {
+	if full || (len(o.tried) == 0 && now-o.began < b.patience()) {
 		b.wait(now, o)
 		return
 	}
@@ -135,10 +159,8 @@
 		b.giveUp(o, Event{Outcome: OutcomeLinkFull})
 		return
 	}
-	o.waiting = true
-	o.deadline = now + bulkPoll
-	heap.Push(&b.openings, attempt{opening: o, deadline: o.deadline})
 	f.seen = now
+	b.keep(now, o)
 }
 
 // patience is how long a request waits for a sidecar that can be asked.
@@ -149,28 +171,56 @@
 	return startWaitTime
 }
 
+// openingLife returns how long a client waits for a flow to open, when it gives a
+// request up after a timeout; 0 means not known.
+func openingLife(timeout clock.Millis) clock.Millis {
+	if timeout <= 0 {
+		return maxOpeningLife
+	}
+	return min(timeout, maxOpeningLife)
+}
+
+// copyAge returns how long ago a client has sent its first request for a flow, when
+// this is a later copy.
+func copyAge(copies uint32) clock.Millis {
+	return copyTimes[min(int(copies), len(copyTimes)-1)]
+}
+
 // wait keeps a request until a sidecar reports or until its patience ends.
 func (b *Balancer) wait(now clock.Millis, o *opening) {
-	if !o.waiting {
+	if !o.waited {
 		b.count(Event{Outcome: OutcomeWaiting, Key: o.key, Version: b.table.Version()})
-		b.waiting = append(b.waiting, o)
 	}
-	o.waiting = true
-	o.deadline = now + waitPoll
-	heap.Push(&b.openings, attempt{opening: o, deadline: o.deadline})
+	o.waited = true
+	b.keep(now, o)
 }
 
-// resume asks a sidecar for the requests that have waited for one.
+// keep adds a request to those that wait.
+func (b *Balancer) keep(now clock.Millis, o *opening) {
+	if len(b.waiting) == 0 {
+		b.nextPoll = now + waitPoll
+	}
+	o.waiting, o.deadline = true, 0
+	b.waiting = append(b.waiting, o)
+}
+
+// resume asks sidecars for the requests that wait. The newest goes first, because the
+// others have missed their goals or are closer to missing them.
 func (b *Balancer) resume(now clock.Millis) {
 	waiting := b.waiting
 	b.waiting = nil
+	slices.SortStableFunc(waiting, func(x, y *opening) int { return cmp.Compare(y.began, x.began) })
 	for _, o := range waiting {
 		f := b.flows[o.key]
-		if f == nil || f.opening != o || !o.waiting {
-			continue
-		}
 		o.waiting = false
-		b.ask(now, f, o, 0)
+		switch {
+		case f == nil || f.opening != o || f.accepted:
+		case o.expired(now):
+			delete(b.flows, o.key)
+			b.count(Event{Outcome: OutcomeExpired, Key: o.key, Version: b.table.Version()})
+		default:
+			b.ask(now, f, o, 0)
+		}
 	}
 }
 
@@ -212,11 +262,20 @@
 		return
 	}
 	o.unanswered--
+	if c := b.sidecars[from]; c != nil && m.Reason == relay.ReasonBusy {
+		// It may be asked again later.
+		c.busy(now, o.late(now))
+		o.tried = slices.DeleteFunc(o.tried, func(a netip.AddrPort) bool { return a == from })
+	}
 	b.ask(now, f, o, m.Reason)
 }
 
-// expireOpenings asks another sidecar for each flow whose answer is late.
+// expireOpenings asks another sidecar for each flow whose answer is late, and again for
+// the flows that wait.
 func (b *Balancer) expireOpenings(now clock.Millis) {
+	if len(b.waiting) > 0 && now >= b.nextPoll {
+		b.resume(now)
+	}
 	for len(b.openings) > 0 {
 		a := b.openings[0]
 		o := a.opening
@@ -229,14 +288,10 @@
 		if !current {
 			continue
 		}
-		if now-o.began > openingLife {
+		if o.expired(now) {
 			f.opening = nil
 			continue
 		}
-		if o.waiting {
-			b.ask(now, f, o, 0)
-			continue
-		}
 		last := o.tried[len(o.tried)-1]
 		if c := b.sidecars[last]; c != nil {
 			c.late(now)
--- /dev/null
+++ b/internal/flow/balancer/opening_test.go
@@ -0,0 +1,87 @@
+package balancer_test
+
+import (
+	"encoding/binary"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/flow/balancer"
+	"github.com/orioledyke/orioledyke/internal/flow/relay"
+)
+
+// refuseBusy refuses the last flow that was offered to a sidecar, from its client's
+// port.
+func (h *harness) refuseBusy(i int, port uint16) {
+	h.balancer.HandleSidecar(h.now, sidecars[i], relay.Message{
+		Kind: relay.KindRefused, Reason: relay.ReasonBusy, Key: keyFrom(port), Load: relay.Load{Active: 6},
+	})
+}
+
+// Guards against requests that are refused while all upstreams are busy for a moment.
+func TestBusySidecarIsAskedAgain(t *testing.T) {
+	h := newHarness(t)
+	h.report(0, true, relay.Load{})
+	h.balancer.HandleClient(h.now, packet(openFlags, 0, 0))
+	h.c.Assert(h.take(), qt.HasLen, 1)
+	h.c.Assert(h.messages[0].Goal, qt.Equals, clock.Millis(120))
+	h.c.Assert(h.messages[0].Late, qt.IsFalse)
+	h.refuseBusy(0, client.Port())
+	h.c.Assert(h.take(), qt.HasLen, 0)
+	h.c.Assert(h.balancer.NextDeadline(), qt.Equals, h.now+20)
+	h.advance(20)
+	h.c.Assert(h.take(), qt.DeepEquals, []string{sidecars[0].String()})
+	h.answer(relay.KindAccepted, sidecars[0])
+	h.c.Assert(h.balancer.Count(balancer.OutcomePlaced), qt.Equals, uint64(2))
+	h.c.Assert(h.resets, qt.Equals, 0)
+}
+
+// Guards against a backlog that makes every later request late too.
+func TestNewestWaitingRequestGoesFirst(t *testing.T) {
+	h := newHarness(t)
+	h.report(0, true, relay.Load{})
+	h.balancer.HandleClient(h.now, packetFrom(1, openFlags, 0, 0))
+	h.refuseBusy(0, 1)
+	for port := uint16(2); port <= 4; port++ {
+		h.now++
+		h.balancer.HandleClient(h.now, packetFrom(port, openFlags, 0, 0))
+	}
+	h.take()
+	h.messages = nil
+	h.report(0, true, relay.Load{})
+	h.advance(20)
+	var ports []uint16
+	for _, m := range h.messages {
+		ports = append(ports, binary.LittleEndian.Uint16(m.Packet[16:]))
+	}
+	h.c.Assert(ports, qt.DeepEquals, []uint16{4, 3, 2, 1})
+}
+
+// Guards against slots that are spent on late requests, and on clients that have given
+// up.
+func TestLateRequestIsMarkedAndDropped(t *testing.T) {
+	h := newHarness(t)
+	h.report(0, true, relay.Load{})
+	h.balancer.HandleClient(h.now, packet(openFlags, 0, 0))
+	h.refuseBusy(0, client.Port())
+	for waited := 0; waited < 1200; waited += 20 {
+		h.messages = nil
+		h.report(0, true, relay.Load{})
+		h.advance(20)
+		h.c.Assert(h.messages, qt.HasLen, 1)
+		h.c.Assert(h.messages[0].Late, qt.Equals, waited+20 > 120)
+		h.refuseBusy(0, client.Port())
+	}
+	h.messages = nil
+	h.advance(20)
+	h.c.Assert(h.messages, qt.HasLen, 0)
+	h.c.Assert(h.balancer.Flows(), qt.Equals, 0)
+}
+
+// Guards against a late copy that counts as a request that has just been made.
+func TestCopyIsAsOldAsItsRequest(t *testing.T) {
+	h := newHarness(t)
+	h.reportAll()
+	h.balancer.HandleClient(h.now, packet(openFlags, 1, 0))
+	h.c.Assert(h.messages[0].Late, qt.IsTrue)
+}
--- a/internal/flow/balancer/sidecar.go
+++ b/internal/flow/balancer/sidecar.go
@@ -27,10 +27,11 @@
 	// lateCost is added for a sidecar that did not answer, so that it is chosen last.
 	lateCost = 100
 	// fullFactor is how many requests for each slot an upstream may have before new
-	// flows go elsewhere, and fullWait how long a new flow waits for one with fewer.
-	// After that the upstream itself decides, while the latency goal can be met.
-	fullFactor              = 4
-	fullWait   clock.Millis = 100
+	// flows go elsewhere. Upstreams return requests that find a longer queue.
+	fullFactor = 4
+	// busyTime is how long a sidecar that was too busy for a flow is not asked again:
+	// about the time in which one of its slots becomes free.
+	busyTime clock.Millis = 20
 	// latePenalty is how long a sidecar that did not answer is chosen last.
 	latePenalty = clock.Second
 )
@@ -45,6 +46,9 @@
 	// lateAt is the time of its last missing answer.
 	lateAt clock.Millis
 	isLate bool
+	// busyUntil and lateBusyUntil are the times from which a flow whose goal can be
+	// met, or has passed, may be offered again.
+	busyUntil, lateBusyUntil clock.Millis
 }
 
 // late records that the sidecar has not answered in time.
@@ -64,11 +68,22 @@
 	return now-c.heard <= reportsMissed*interval
 }
 
-// full reports whether new flows would wait long for a slot.
-func (c *sidecar) full() bool {
+// full reports whether a new flow would wait too long for a slot.
+func (c *sidecar) full(now clock.Millis, late bool) bool {
+	if now < c.busyUntil || (late && now < c.lateBusyUntil) {
+		return true
+	}
 	return int(c.report.Load.Active)+c.placed >= fullFactor*max(c.report.Slots, 1)
 }
 
+// busy records that the sidecar was too busy for a flow.
+func (c *sidecar) busy(now clock.Millis, late bool) {
+	c.lateBusyUntil = now + busyTime
+	if !late {
+		c.busyUntil = now + busyTime
+	}
+}
+
 // cost estimates the wait for a slot: the load of each slot, and more for a host
 // that is far away or does not answer.
 func (c *sidecar) cost(now clock.Millis, dataCentre string) float64 {
@@ -196,26 +211,29 @@
 
 // pick chooses the sidecar for a new flow: the better of two random ones, so that
 // balancers that know the same loads do not all choose the same one. Later
-// attempts take the best of all.
-func (b *Balancer) pick(now clock.Millis, o *opening) *sidecar {
+// attempts take the best of all. Full reports that there is none because all others
+// are full.
+func (b *Balancer) pick(now clock.Millis, o *opening) (best *sidecar, full bool) {
 	var candidates []*sidecar
+	late := o.late(now)
 	for _, c := range b.services[o.service] {
-		if c.full() && now-o.began < fullWait {
-			continue
-		}
-		if c.usable(now) && !slices.Contains(o.tried, c.address) {
+		switch {
+		case !c.usable(now) || slices.Contains(o.tried, c.address):
+		case c.full(now, late):
+			full = true
+		default:
 			candidates = append(candidates, c)
 		}
 	}
 	if len(candidates) == 0 {
-		return nil
+		return nil, full
 	}
 	if len(o.tried) > 0 || len(candidates) < 3 {
-		return b.cheapest(now, candidates)
+		return b.cheapest(now, candidates), false
 	}
 	i := b.config.Random(len(candidates))
 	j := (i + 1 + b.config.Random(len(candidates)-1)) % len(candidates)
-	return b.cheapest(now, []*sidecar{candidates[i], candidates[j]})
+	return b.cheapest(now, []*sidecar{candidates[i], candidates[j]}), false
 }
 
 func (b *Balancer) cheapest(now clock.Millis, candidates []*sidecar) *sidecar {
--- a/internal/flow/node/sidecar.go
+++ b/internal/flow/node/sidecar.go
@@ -225,7 +225,9 @@
 // at once when it changed.
 func (n *sidecarNode) applyRegistration(now clock.Millis) {
 	before := n.machine.Accepting()
-	switch _, known := n.registration.Current(); {
+	current, known := n.registration.Current()
+	n.machine.SetSlots(current.Slots)
+	switch {
 	case n.stopping:
 		n.machine.Refuse(relay.ReasonStopping)
 	case !known || !n.restored:
--- a/internal/flow/relay/message.go
+++ b/internal/flow/relay/message.go
@@ -58,7 +58,8 @@
 	ReasonUnregistered
 	// ReasonService means that the upstream belongs to another service.
 	ReasonService
-	// ReasonBusy means that the upstream has more work than slots.
+	// ReasonBusy means that the upstream has too much work to meet the latency goal of
+	// the flow's request. It may be asked again.
 	ReasonBusy
 	// ReasonStopping means that the sidecar is stopping.
 	ReasonStopping
@@ -121,9 +122,14 @@
 	Asker netip.AddrPort
 	// Service is the service that the packet may enter.
 	Service identity.ServiceID
-	Reason  Reason
-	Key     segment.Key
-	Load    Load
+	// Goal is the latency goal of the request in a new flow; 0 means that the upstream
+	// gets the flow however busy it is.
+	Goal clock.Millis
+	// Late tells that the client of a new flow has waited longer than the goal.
+	Late   bool
+	Reason Reason
+	Key    segment.Key
+	Load   Load
 	// Asked is the number of sidecars that an absence stands for.
 	Asked uint16
 	// Keys are the flows of a hint.
@@ -136,8 +142,13 @@
 
 const (
 	addressSize = 6
-	forwardHead = 1 + identity.ServiceIDSize + addressSize
-	answerSize  = 2 + 4 + 2 + segment.KeySize
+	forwardHead = 1 + identity.ServiceIDSize + addressSize + classSize
+	// classSize is the size of the goal, whose highest bit tells that it has passed.
+	classSize = 2
+	lateBit   = 1 << 15
+	// maxGoal is the longest goal that is distinguished.
+	maxGoal    = lateBit - 1
+	answerSize = 2 + 4 + 2 + segment.KeySize
 	// MaxHint is the number of flows in one hint.
 	MaxHint = 80
 )
@@ -152,6 +163,7 @@
 		head[0] = byte(m.Kind)
 		identity.PutUint40(head[1:], uint64(m.Service))
 		putAddress(head[1+identity.ServiceIDSize:], m.Asker)
+		binary.BigEndian.PutUint16(head[forwardHead-classSize:], m.class())
 		return append(append(b, head[:]...), m.Packet...), nil
 	case KindHint:
 		b = append(b, byte(m.Kind))
@@ -174,6 +186,19 @@
 	}
 }
 
+// class encodes the goal and whether it has passed.
+func (m *Message) class() uint16 {
+	class := uint16(min(max(m.Goal, 0), maxGoal))
+	if m.Late {
+		class |= lateBit
+	}
+	return class
+}
+
+func (m *Message) setClass(class uint16) {
+	m.Goal, m.Late = clock.Millis(class&^lateBit), class&lateBit != 0
+}
+
 // putAddress writes an IPv4 address, or zeros if it is not valid.
 func putAddress(b []byte, a netip.AddrPort) {
 	if a.IsValid() {
@@ -212,6 +237,7 @@
 		}
 		m.Service = identity.ServiceID(identity.GetUint40(data[1:]))
 		m.Asker = getAddress(data[1+identity.ServiceIDSize:])
+		m.setClass(binary.BigEndian.Uint16(data[forwardHead-classSize:]))
 		m.Packet = data[forwardHead:]
 		return m, nil
 	case KindHint:
--- a/internal/flow/relay/message_test.go
+++ b/internal/flow/relay/message_test.go
@@ -18,6 +18,8 @@
 	service := identity.NewServiceID("", "portal")
 	for _, m := range []relay.Message{
 		{Kind: relay.KindForward, Asker: netip.MustParseAddrPort("10.1.0.1:7000"), Service: service, Packet: []byte{1, 2, 3}},
+		{Kind: relay.KindForward, Service: service, Goal: 120, Packet: []byte{1}},
+		{Kind: relay.KindForward, Service: service, Goal: 800, Late: true, Packet: []byte{1}},
 		{Kind: relay.KindSearch, Service: service, Packet: []byte{1}},
 		{Kind: relay.KindHint, Keys: []segment.Key{key, key}},
 		{Kind: relay.KindAbsent, Key: key, Asked: 48},
@@ -42,6 +44,8 @@
 		c.Assert(decoded.Key, qt.Equals, m.Key)
 		c.Assert(decoded.Load, qt.Equals, m.Load)
 		c.Assert(decoded.Asked, qt.Equals, m.Asked)
+		c.Assert(decoded.Goal, qt.Equals, m.Goal)
+		c.Assert(decoded.Late, qt.Equals, m.Late)
 		c.Assert(decoded.Report, qt.Equals, m.Report)
 	}
 }
--- a/internal/flow/route/table.go
+++ b/internal/flow/route/table.go
@@ -25,6 +25,9 @@
 	Priority int
 	// Bulk tells that requests are long and responses short, as in uploads.
 	Bulk bool
+	// LatencyGoal is the time in which a request should be answered, and Timeout the
+	// time after which its client gives up; 0 means not known.
+	LatencyGoal, Timeout clock.Millis
 }
 
 // Config configures a Table.
--- a/internal/flow/sidecar/flow.go
+++ b/internal/flow/sidecar/flow.go
@@ -19,13 +19,18 @@
 	opened clock.Millis
 	agents agent.Selection
 	// first is the position of the upstream's first byte.
-	first          uint32
-	seen           clock.Millis
-	busySince      clock.Millis
-	busy           bool
-	request        request
-	clientFinished bool
-	serverFinished bool
+	first uint32
+	seen  clock.Millis
+	// busySince is the time of the last packet of the request in progress, and began
+	// that of the first one from which it counts as work.
+	busySince, began clock.Millis
+	busy             bool
+	// expected tells that the first request of a new flow has not arrived yet, and
+	// queued that the last request had to wait for a slot.
+	expected, queued bool
+	request          request
+	clientFinished   bool
+	serverFinished   bool
 }
 
 // finished reports whether both ends have sent all their data.
--- a/internal/flow/sidecar/request.go
+++ b/internal/flow/sidecar/request.go
@@ -19,9 +19,11 @@
 	if p.Length == 0 || p.Length == s.config.FullLength {
 		return
 	}
+	s.capacity.arrived(f)
 	if !f.busy && !f.serverFinished {
-		f.busy = true
+		f.busy, f.began = true, now
 		s.active++
+		f.queued = s.active > s.capacity.slots
 	}
 	f.busySince = now
 }
@@ -62,10 +64,13 @@
 	f.request = request{}
 }
 
-func (s *Sidecar) trackResponse(f *flow, p segment.Segment) {
+func (s *Sidecar) trackResponse(now clock.Millis, f *flow, p segment.Segment) {
 	f.serverFinished = f.serverFinished || p.Ends
 	if (p.Length > 0 || p.Ends) && f.busy {
 		f.busy = false
 		s.active--
+		if !f.queued {
+			s.capacity.observe(now - f.began)
+		}
 	}
 }
--- a/internal/flow/sidecar/sidecar.go
+++ b/internal/flow/sidecar/sidecar.go
@@ -125,6 +125,7 @@
 	active   int
 	open     int
 	search   search
+	capacity capacity
 	// unanswered counts the new flows offered since the last packet of the upstream,
 	// and silentSince is the time of the last one that was offered as a trial.
 	unanswered  int
@@ -171,13 +172,15 @@
 func (s *Sidecar) Forget() {
 	s.flows = map[segment.Key]*flow{}
 	s.active, s.open = 0, 0
+	s.capacity.forget()
 	s.learning = true
 }
 
-// Load returns the work of the upstream.
+// Load returns the work of the upstream: requests in progress and new flows whose first
+// request is on its way.
 func (s *Sidecar) Load() relay.Load {
 	const limit = 1<<16 - 1
-	return relay.Load{Active: uint16(min(s.active, limit)), Flows: uint16(min(s.open, limit))}
+	return relay.Load{Active: uint16(min(s.active+s.capacity.expected, limit)), Flows: uint16(min(s.open, limit))}
 }
 
 // Count returns how often an outcome occurred.
@@ -272,6 +275,9 @@
 		if reason == 0 && s.silent(now) {
 			reason = relay.ReasonSilent
 		}
+		if reason == 0 && f == nil && !s.admits(now, m) {
+			reason = relay.ReasonBusy
+		}
 		if reason != 0 {
 			s.count(Event{Outcome: OutcomeRefused, Key: p.Key, Balancer: from, Reason: reason, Load: s.Load()})
 			s.answer(from, relay.KindRefused, reason, p.Key)
@@ -280,6 +286,7 @@
 	}
 	if f == nil {
 		f = s.add(now, p.Key, stateOffered)
+		s.capacity.expect(now, f)
 	}
 	f.asker, f.agent = from, netip.AddrPort{}
 	f.seen = now
@@ -384,7 +391,7 @@
 		s.claim(f, p.Key)
 	}
 	s.noteResponse(now, f, p, packet)
-	s.trackResponse(f, p)
+	s.trackResponse(now, f, p)
 	s.counts[OutcomeReplied]++
 	s.config.ToClient(p.Key.Client().Addr(), packet)
 	if p.Resets {
@@ -441,6 +448,7 @@
 		return
 	}
 	delete(s.flows, key)
+	s.capacity.arrived(f)
 	s.open--
 	if f.busy {
 		s.active--
@@ -450,6 +458,7 @@
 // Tick forgets flows that have ended.
 func (s *Sidecar) Tick(now clock.Millis) {
 	s.publish(now)
+	s.capacity.expire(now)
 	if now-s.swept < clock.Second {
 		return
 	}
--- a/internal/standin/fleet/balancer.go
+++ b/internal/standin/fleet/balancer.go
@@ -72,8 +72,9 @@
 		config := route.Config{Version: b.world.version}
 		for s := range b.world.config.Services {
 			config.Routes = append(config.Routes, route.Route{
-				Address: serviceAddress(s),
-				Targets: []route.Target{{Service: platform.ServiceID(serviceName(s)), Weight: 1}},
+				Address:     serviceAddress(s),
+				Targets:     []route.Target{{Service: platform.ServiceID(serviceName(s)), Weight: 1}},
+				LatencyGoal: latencyGoal, Timeout: deadline,
 			})
 		}
 		b.machine.SetTable(route.NewTable(config))
--- a/internal/standin/fleet/client.go
+++ b/internal/standin/fleet/client.go
@@ -15,7 +15,9 @@
 	firstRetransmission clock.Millis = 200
 	maxRetransmission   clock.Millis = 1600
 	// deadline is how long a client waits for an answer.
-	deadline = 2500 * clock.Millis(1)
+	deadline clock.Millis = 2500
+	// latencyGoal is the time in which a client wants its answer.
+	latencyGoal clock.Millis = 150
 	// tries is how many flows a client opens for one request.
 	tries = 3
 	// pause is the longest time between two requests of a long flow.
--- a/internal/standin/fleet/upstream.go
+++ b/internal/standin/fleet/upstream.go
@@ -103,6 +103,7 @@
 	})
 	u.machine.SetService(platform.ServiceID(serviceName(u.service)))
 	u.machine.SetLearning(u.world.config.Mutant != NothingLearned)
+	u.machine.SetSlots(slots)
 	u.report(u.run)
 }
 
