flow: Bound digests and reports in a second

Change: digests go to 32 hosts in a round, in turn, and tell when the next one comes; lists go to 8 balancers and to the sidecars that a balancer informs, every 5 s; a new configuration is told to 16 balancers at once, which tell as many; balancers ask for fewer reports the more sidecars they hear. Digests are binary.

Ruled out: lists in all digests (245 kB/s for a balancer at 300 hosts); the 128 addresses that a digest could name, which cut off siblings of large services.

--- a/internal/flow/node/balancer.go
+++ b/internal/flow/node/balancer.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/orioledyke/orioledyke/internal/common/clock"
@@ -22,13 +21,6 @@
 )
 
 const (
-	// digestInterval is the time between two digests.
-	digestInterval clock.Millis = 500
-	// listDigests is the number of digests of which one has the lists of hosts, which
-	// are long.
-	listDigests = 10
-	// siblingInterval is the time between two looks for changed services.
-	siblingInterval clock.Millis = 100
 	// settleTime is how long a balancer waits for reports after its start before it
 	// relies on having heard all sidecars. With the directory, which names them, the
 	// answers of peers are all that it waits for.
@@ -59,8 +51,7 @@
 	armed bool
 	// fetches are the peers to be asked for their configuration.
 	fetches chan netip.Addr
-	// digests counts the digests sent.
-	digests int
+	digests *digests
 	// packet is the time of the last packet of a client.
 	packet clock.Millis
 	// newer is the highest version that a peer has, heard from newerAt at
@@ -93,6 +84,7 @@
 		Complete:   n.complete,
 		Observe:    n.observe,
 	})
+	n.digests = &digests{node: n}
 	n.directory = b.newDirectory(platform.Balancers, n.learn)
 	n.registerMetrics()
 	if err := n.start(); err != nil {
@@ -109,7 +101,7 @@
 	n.addTimer("siblings", siblingInterval, func(context.Context) {
 		n.mutex.Lock()
 		defer n.mutex.Unlock()
-		n.sendSiblings(n.clock.Now())
+		n.digests.sendSiblings(n.clock.Now())
 	})
 	n.tree.Add("configuration", configuration.New(configuration.Config{
 		Read: n.store.Configuration, Watch: n.store.WatchConfiguration,
@@ -180,7 +172,7 @@
 		n.handleDigest(now, from.Addr(), m.Digest)
 		return
 	}
-	appeared := n.sidecars.Heard(now, from.Addr())
+	appeared := n.sidecars.Heard(now, from.Addr(), m.Report.Interval)
 	if appeared {
 		n.logger.Info("sidecar-appeared", zap.Stringer("sidecar", from))
 	}
@@ -188,78 +180,11 @@
 	if m.Kind == relay.KindReport && m.Report.Departed {
 		n.sidecars.Remove(from.Addr())
 	} else if appeared {
-		n.digestTo(now, []netip.Addr{from.Addr()}, true)
+		n.digests.send(now, []netip.Addr{from.Addr()}, true)
 	}
 	n.arm(now)
 }
 
-func (n *balancerNode) handleDigest(now clock.Millis, from netip.Addr, d relay.Digest) {
-	if n.balancers.Heard(now, from) {
-		n.logger.Info("balancer-appeared", zap.Stringer("balancer", from))
-		n.digestTo(now, []netip.Addr{from}, true)
-	}
-	n.learn(now, platform.Hosts{platform.Balancers: d.Balancers, platform.Sidecars: d.Sidecars})
-	if d.Version > n.newer {
-		n.newer, n.newerAt, n.newerSince = d.Version, from, now
-	}
-	if d.Version > 0 && n.machine.Table() == nil {
-		n.requestFetch(from)
-	}
-}
-
-// learn contacts hosts that are new here.
-func (n *balancerNode) learn(now clock.Millis, hosts platform.Hosts) {
-	added := n.balancers.Learned(now, hosts[platform.Balancers])
-	n.digestTo(now, append(added, n.sidecars.Learned(now, hosts[platform.Sidecars])...), true)
-}
-
-// digestTo sends hosts what this balancer knows, with or without the lists of hosts.
-func (n *balancerNode) digestTo(now clock.Millis, hosts []netip.Addr, lists bool) {
-	if n.stopping {
-		return
-	}
-	var balancers, sidecars []netip.Addr
-	if lists {
-		balancers, sidecars = n.balancers.Live(now), n.machine.Sidecars()
-	}
-	for _, host := range hosts {
-		m := relay.Message{Kind: relay.KindDigest, Digest: relay.Digest{Version: n.machine.Table().Version()}}
-		if lists {
-			m.Digest.Balancers = atMost(balancers)
-			siblings, known := n.machine.Siblings(netip.AddrPortFrom(host, n.settings.RelayAddress.Port()))
-			switch {
-			case !known:
-				m.Digest.Sidecars = atMost(sidecars)
-			case n.informs(now, host):
-				m.Digest.Siblings = atMost(siblings)
-			}
-		}
-		data, err := m.Append(nil)
-		if err != nil {
-			n.logger.Error("digest-failed", zap.Error(err))
-			return
-		}
-		n.relayTo(host, data)
-	}
-}
-
-// informs reports whether this balancer is one of those that tell a sidecar its
-// siblings.
-func (n *balancerNode) informs(now clock.Millis, host netip.Addr) bool {
-	return isInformer(n.settings.RelayAddress.Addr(), host, n.balancers.Live(now))
-}
-
-// sendSiblings tells sidecars of services whose members have changed their siblings.
-func (n *balancerNode) sendSiblings(now clock.Millis) {
-	if changed := n.machine.TakeChanged(); len(changed) > 0 {
-		hosts := slices.DeleteFunc(changed, func(host netip.Addr) bool { return !n.informs(now, host) })
-		n.digestTo(now, hosts, true)
-	}
-}
-
-// atMost returns as many hosts as fit a digest.
-func atMost(hosts []netip.Addr) []netip.Addr { return hosts[:min(len(hosts), roster.MaxList)] }
-
 // complete reports whether every sidecar that may hold flows has reported.
 func (n *balancerNode) complete() bool {
 	now := n.clock.Now()
@@ -270,26 +195,6 @@
 	return now-n.started >= settle && len(n.sidecars.Unheard(now)) == 0
 }
 
-// sendDigests tells others what this balancer knows, and asks a peer for a
-// configuration that the store has not delivered.
-func (n *balancerNode) sendDigests(context.Context) {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	now := n.clock.Now()
-	n.machine.Tick(now)
-	n.balancers.Learned(now, n.seedHosts())
-	n.balancers.Expire(now)
-	n.sidecars.Expire(now)
-	n.digests++
-	lists := n.digests%listDigests == 0
-	n.digestTo(now, append(n.balancers.Live(now), n.sidecars.Live(now)...), lists)
-	n.digestTo(now, append(n.balancers.Silent(now), n.sidecars.Silent(now)...), false)
-	behind, peer := n.newer > n.machine.Table().Version() && now-n.newerSince >= peerDelay, n.newerAt
-	if behind {
-		n.requestFetch(peer)
-	}
-}
-
 // requestFetch asks a peer for its configuration in the background, unless one is being
 // asked.
 func (n *balancerNode) requestFetch(peer netip.Addr) {
@@ -366,8 +271,7 @@
 	n.mutex.Lock()
 	applied := n.machine.SetTable(table)
 	if applied {
-		now := n.clock.Now()
-		n.digestTo(now, n.balancers.Live(now), false)
+		n.digests.spread(n.clock.Now())
 	}
 	n.mutex.Unlock()
 	if applied {
@@ -383,6 +287,7 @@
 		return
 	}
 	n.logger.Info("store-regained")
+	n.directory.check()
 }
 
 // ready reports whether routers may send packets here: with a configuration, and
--- a/internal/flow/node/directory.go
+++ b/internal/flow/node/directory.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"slices"
 	"sync/atomic"
+	"time"
 
 	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/platform"
@@ -16,10 +17,13 @@
 	// listingTTL is how long the entry of a host outlives it. An outdated entry
 	// costs a datagram now and then.
 	listingTTL = 60 * clock.Second
-	// directoryInterval is the time between two looks at the directory, and
-	// renewInterval that between two renewals of the own entry.
-	directoryInterval = 10 * clock.Second
-	renewInterval     = 20 * clock.Second
+	// directoryInterval is the shortest time between two looks at the directory, and
+	// directoryShare what each host adds to it, so that all hosts together read it ten
+	// times in a second at most.
+	directoryInterval              = 10 * clock.Second
+	directoryShare    clock.Millis = 100
+	// renewInterval is the time between two renewals of the own entry.
+	renewInterval = 20 * clock.Second
 	// directoryRetry is the time between failed calls.
 	directoryRetry clock.Millis = 500
 	// drainTimeout limits the entry of a drain, which the acknowledgement waits for:
@@ -46,41 +50,63 @@
 	// drained is the start of the upstream that drains on this host.
 	drained atomic.Int64
 	renewed clock.Millis
+	// wake ends the wait for the next step, listed is the time of the last look at the
+	// directory, and interval that to the next one.
+	wake             chan struct{}
+	listed, interval clock.Millis
 }
 
 // newDirectory returns the directory entry of a process in a list.
 func (b *base) newDirectory(list platform.HostList, learn func(clock.Millis, platform.Hosts)) *directory {
-	return &directory{base: b, list: list, learn: learn, self: b.settings.RelayAddress.Addr()}
+	return &directory{
+		base: b, list: list, learn: learn, self: b.settings.RelayAddress.Addr(), wake: make(chan struct{}, 1),
+	}
+}
+
+// check looks at the directory soon, because entries may have ended while the store was
+// away.
+func (d *directory) check() {
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
 }
 
 // serve reads the list and keeps the entry until ctx ends.
 func (d *directory) serve(ctx context.Context) error {
-	for {
-		wait := directoryInterval
-		if err := d.step(ctx); err != nil && ctx.Err() == nil {
+	for ctx.Err() == nil {
+		wait := directoryRetry
+		if err := d.step(ctx); err == nil {
+			wait = min(d.interval, renewInterval)
+		} else if ctx.Err() == nil {
 			d.base.logger.Warn("directory-failed", zap.Error(err))
-			wait = directoryRetry
 		}
-		if sleep(ctx, wait+clock.Millis(random(int(wait)/4))) != nil {
-			return nil
+		timer := time.NewTimer((wait + clock.Millis(random(int(wait)/4))).Duration())
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-d.wake:
+			d.interval = 0
 		}
+		timer.Stop()
 	}
+	return nil
 }
 
-// step reads the list, and adds or renews the own entry.
+// step reads the list when it is time, and adds or renews the own entry.
 func (d *directory) step(ctx context.Context) error {
-	hosts, err := d.base.store.ListHosts(ctx)
-	if err != nil {
-		return err
-	}
-	d.base.mutex.Lock()
 	now := d.base.clock.Now()
-	d.learn(now, hosts)
-	d.base.mutex.Unlock()
-	d.read.Store(true)
 	lease := d.lease.Load()
-	if lease == 0 || (!slices.Contains(hosts[d.list], d.self) && now-d.renewed > directoryInterval/2) {
+	missing := lease == 0
+	if now-d.listed >= d.interval {
+		listed, err := d.look(ctx)
+		if err != nil {
+			return err
+		}
 		// Without the entry in the list, the store has ended the lease without a word.
+		missing = missing || (!listed && now-d.renewed > directoryInterval/2)
+	}
+	if missing {
 		return d.add(ctx)
 	}
 	if now-d.renewed < renewInterval {
@@ -95,6 +121,22 @@
 	return nil
 }
 
+// look reads the list. It reports whether the own host is there.
+func (d *directory) look(ctx context.Context) (bool, error) {
+	hosts, err := d.base.store.ListHosts(ctx)
+	if err != nil {
+		return false, err
+	}
+	d.base.mutex.Lock()
+	d.listed = d.base.clock.Now()
+	d.learn(d.listed, hosts)
+	d.base.mutex.Unlock()
+	count := len(hosts[platform.Balancers]) + len(hosts[platform.Sidecars])
+	d.interval = max(directoryInterval, directoryShare*clock.Millis(count))
+	d.read.Store(true)
+	return slices.Contains(hosts[d.list], d.self), nil
+}
+
 func (d *directory) add(ctx context.Context) error {
 	lease, err := d.base.store.Grant(ctx, listingTTL)
 	if err != nil {
--- a/internal/flow/node/sidecar.go
+++ b/internal/flow/node/sidecar.go
@@ -23,7 +23,7 @@
 	// hundred reports in a second. maxReportInterval is the longest.
 	reportInterval    clock.Millis = 200
 	reportCost        clock.Millis = 10
-	maxReportInterval              = 10 * clock.Second
+	maxReportInterval              = clock.Minute
 	// contactInterval is the time between two reports to hosts that may run a
 	// balancer but are not known to.
 	contactInterval = clock.Second
@@ -55,6 +55,8 @@
 	contacted   clock.Millis
 	reported    clock.Millis
 	interval    clock.Millis
+	// wanted is the time between two reports that a balancer has asked for.
+	wanted clock.Millis
 	// learnUntil is when every flow that the upstream could hold unseen has ended.
 	learnUntil clock.Millis
 	// born is the start of the upstream whose flows the machine holds.
@@ -159,7 +161,8 @@
 	default:
 		n.machine.HandleMessage(now, from, m)
 	case relay.KindDigest:
-		appeared := n.balancers.Heard(now, from.Addr())
+		appeared := n.balancers.Heard(now, from.Addr(), m.Digest.Interval)
+		n.wanted = m.Digest.ReportInterval
 		if appeared {
 			n.logger.Info("balancer-appeared", zap.Stringer("balancer", from))
 			n.reportTo([]netip.Addr{from.Addr()})
@@ -291,7 +294,7 @@
 		n.contactSilent(now)
 	}
 	live := n.balancers.Live(now)
-	n.interval = min(max(reportInterval, reportCost*clock.Millis(len(live))), maxReportInterval)
+	n.interval = min(max(reportInterval, reportCost*clock.Millis(len(live)), n.wanted), maxReportInterval)
 	if now-n.reported >= n.interval {
 		n.reported = now
 		n.reportTo(live)
--- a/internal/flow/relay/message.go
+++ b/internal/flow/relay/message.go
@@ -1,11 +1,9 @@
 // Package relay is the codec of the datagrams between balancers and sidecars that
-// carry flows without a connection ID. Fixed heads carry what is sent often; JSON
-// carries digests, of which a process sends a few each second.
+// carry flows without a connection ID.
 package relay
 
 import (
 	"encoding/binary"
-	"encoding/json"
 	"errors"
 	"net/netip"
 
@@ -103,17 +101,6 @@
 	Load     Load
 }
 
-// Digest is what a balancer knows.
-type Digest struct {
-	// Version is that of the configuration in effect; 0 means none.
-	Version uint64 `json:"version"`
-	// Balancers are hosts that the sender hears, Sidecars those whose upstreams may
-	// hold flows, and Siblings those of the receiver's service.
-	Balancers []netip.Addr `json:"balancers,omitempty"`
-	Sidecars  []netip.Addr `json:"sidecars,omitempty"`
-	Siblings  []netip.Addr `json:"siblings,omitempty"`
-}
-
 // Message is one datagram. Which fields are set follows from Kind.
 type Message struct {
 	Kind Kind
@@ -180,7 +167,7 @@
 	case KindReport:
 		return m.Report.append(b), nil
 	case KindDigest:
-		return appendJSON(b, m.Kind, m.Digest)
+		return m.Digest.append(b)
 	default:
 		return b, errMessage
 	}
@@ -216,14 +203,6 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[:4])), port)
 }
 
-func appendJSON(b []byte, kind Kind, body any) ([]byte, error) {
-	data, err := json.Marshal(body)
-	if err != nil {
-		return b, err
-	}
-	return append(append(b, byte(kind)), data...), nil
-}
-
 // Decode reads a datagram. Packet refers to data.
 func Decode(data []byte) (Message, error) {
 	if len(data) == 0 {
@@ -264,7 +243,9 @@
 		m.Report, err = decodeReport(data)
 		return m, err
 	case KindDigest:
-		return m, json.Unmarshal(data[1:], &m.Digest)
+		var err error
+		m.Digest, err = decodeDigest(data)
+		return m, err
 	default:
 		return Message{}, errMessage
 	}
--- a/internal/flow/relay/message_test.go
+++ b/internal/flow/relay/message_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/google/go-cmp/cmp/cmpopts"
 	"github.com/orioledyke/orioledyke/internal/common/identity"
 	"github.com/orioledyke/orioledyke/internal/flow/relay"
 	"github.com/orioledyke/orioledyke/internal/flow/segment"
@@ -31,7 +32,9 @@
 			Load: relay.Load{Active: 1, Flows: 2},
 		}},
 		{Kind: relay.KindDigest, Digest: relay.Digest{
-			Version: 3, Balancers: []netip.Addr{netip.MustParseAddr("10.1.0.1")}, Sidecars: []netip.Addr{},
+			Version: 3, Interval: 70_000, ReportInterval: 200,
+			Balancers: []netip.Addr{netip.MustParseAddr("10.1.0.1"), netip.MustParseAddr("10.1.0.2")},
+			Siblings:  []netip.Addr{netip.MustParseAddr("10.2.0.1")},
 		}},
 	} {
 		data, err := m.Append(nil)
@@ -47,6 +50,7 @@
 		c.Assert(decoded.Goal, qt.Equals, m.Goal)
 		c.Assert(decoded.Late, qt.Equals, m.Late)
 		c.Assert(decoded.Report, qt.Equals, m.Report)
+		c.Assert(decoded.Digest, qt.CmpEquals(cmpopts.EquateComparable(netip.Addr{})), m.Digest)
 	}
 }
 
@@ -54,6 +58,8 @@
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte{byte(relay.KindForward), 1, 0, 0, 0, 0, 0, 9})
 	f.Add([]byte{byte(relay.KindReport), '{', '}'})
+	f.Add(append([]byte{byte(relay.KindDigest)}, make([]byte, 22)...))
+	f.Add(append(append([]byte{byte(relay.KindDigest)}, make([]byte, 16)...), 255, 255, 0, 0, 0, 0, 1))
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		// Only a panic is a failure.
 		_, _ = relay.Decode(data)
--- a/internal/flow/roster/roster.go
+++ b/internal/flow/roster/roster.go
@@ -10,20 +10,22 @@
 )
 
 const (
-	// liveTime is how long a host counts as live after its last message. Hosts
-	// send several messages in it, so that single losses do not matter.
-	liveTime = 3 * clock.Second
+	// liveTime is how long a host counts as live at least after its last message, and
+	// missedMessages how many of its messages may be missing, so that single losses do
+	// not matter.
+	liveTime       = 3 * clock.Second
+	missedMessages = 4
 	// hintTime is how long a host that was only heard of is tried. It is longer than
 	// the time between two readings of the directory.
 	hintTime = 15 * clock.Second
-	// MaxList limits the hosts that a digest names, so that it fits a datagram.
-	MaxList = 128
 )
 
 type host struct {
 	// heard is the time of the last message of the host itself, learned the last
 	// time that another host named it.
-	heard, learned  clock.Millis
+	heard, learned clock.Millis
+	// interval is the time to its next message, as it told.
+	interval        clock.Millis
 	wasHeard, named bool
 }
 
@@ -39,14 +41,18 @@
 	return &Roster{self: self, hosts: map[netip.Addr]*host{}}
 }
 
-// Heard records a message of a host. It reports whether the host was not live.
-func (r *Roster) Heard(now clock.Millis, address netip.Addr) bool {
+// Heard records a message of a host, which sends the next one after an interval; 0
+// means as before. It reports whether the host was not live.
+func (r *Roster) Heard(now clock.Millis, address netip.Addr, interval clock.Millis) bool {
 	h := r.get(address)
 	if h == nil {
 		return false
 	}
-	appeared := !h.wasHeard || now-h.heard > liveTime
+	appeared := !h.live(now)
 	h.heard, h.wasHeard = now, true
+	if interval > 0 {
+		h.interval = interval
+	}
 	return appeared
 }
 
@@ -117,8 +123,11 @@
 	return addresses
 }
 
-func (h *host) live(now clock.Millis) bool { return h.wasHeard && now-h.heard <= liveTime }
+// patience is how long the host may be silent and still count as live.
+func (h *host) patience() clock.Millis { return max(liveTime, missedMessages*h.interval) }
+
+func (h *host) live(now clock.Millis) bool { return h.wasHeard && now-h.heard <= h.patience() }
 
 func (h *host) expired(now clock.Millis) bool {
-	return (!h.named || now-h.learned > hintTime) && (!h.wasHeard || now-h.heard > hintTime)
+	return (!h.named || now-h.learned > hintTime) && (!h.wasHeard || now-h.heard > max(hintTime, h.patience()))
 }
--- a/internal/flow/roster/roster_test.go
+++ b/internal/flow/roster/roster_test.go
@@ -28,8 +28,8 @@
 	c.Assert(r.Learned(0, []netip.Addr{a}), qt.HasLen, 0)
 	c.Assert(r.Live(0), qt.HasLen, 0)
 	c.Assert(r.Unheard(0), equals, []netip.Addr{a, b})
-	c.Assert(r.Heard(10, a), qt.IsTrue)
-	c.Assert(r.Heard(20, a), qt.IsFalse)
+	c.Assert(r.Heard(10, a, 0), qt.IsTrue)
+	c.Assert(r.Heard(20, a, 0), qt.IsFalse)
 	c.Assert(r.Live(20), equals, []netip.Addr{a})
 	c.Assert(r.Silent(20), equals, []netip.Addr{b})
 	c.Assert(r.Unheard(20), equals, []netip.Addr{b})
@@ -42,8 +42,35 @@
 func TestRemove(t *testing.T) {
 	c := qt.New(t)
 	r := roster.New(self)
-	r.Heard(0, a)
+	r.Heard(0, a, 0)
 	r.Remove(a)
 	c.Assert(r.Live(0), qt.HasLen, 0)
 	c.Assert(r.Silent(0), qt.HasLen, 0)
 }
+
+// Guards against a host that is given up between two of its messages, because it sends
+// few in a large system.
+func TestLongIntervals(t *testing.T) {
+	c := qt.New(t)
+	r := roster.New(self)
+	r.Heard(0, a, 20*clock.Second)
+	c.Assert(r.Live(80*clock.Second), equals, []netip.Addr{a})
+	r.Expire(80 * clock.Second)
+	c.Assert(r.Heard(80*clock.Second, a, clock.Second), qt.IsFalse)
+	c.Assert(r.Live(84*clock.Second+1), qt.HasLen, 0)
+}
+
+// Guards against hosts that never get their turn, and against more messages in a large
+// system.
+func TestRotation(t *testing.T) {
+	c := qt.New(t)
+	var r roster.Rotation
+	hosts := []netip.Addr{self, a, b}
+	c.Assert(r.Next(hosts, 5), equals, hosts)
+	c.Assert(r.Next(hosts, 2), equals, []netip.Addr{self, a})
+	c.Assert(r.Next(hosts, 2), equals, []netip.Addr{b, self})
+	c.Assert(r.Next([]netip.Addr{self, b}, 1), equals, []netip.Addr{b})
+	c.Assert(r.Next(nil, 1), qt.HasLen, 0)
+	c.Assert(roster.Rounds(5, 2), qt.Equals, 3)
+	c.Assert(roster.Rounds(0, 2), qt.Equals, 1)
+}
