standin: Add a soak of real processes under faults from outside

Balancers and sidecars run as separate processes on loopback addresses. The routers, clients, upstreams and the oracle of package fleet run in real time around them. Faults come from outside: SIGKILL, SIGTERM, SIGSTOP and SIGHUP, proxies before the store that delay, cut one way, silence and reset connections, a store that refuses, limits, loses answers, is silent or slow, forgets its history and ends leases, upstreams that restart, drain and give their address to another service.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := bin
 TOOLS := $(abspath $(BIN)/tools)
 
-.PHONY: all build tools lint format generate test demo prove bench capacity measure fuzz mutants fleet
+.PHONY: all build tools lint format generate test demo prove bench capacity measure fuzz mutants fleet soak
 
 all: build
 
@@ -71,3 +71,8 @@
 # Runs the flow path among modelled routers, clients and upstreams under faults.
 fleet:
 	$(GO) test -count=1 -run '^TestFaults$$' ./internal/standin/fleet -fleet.seed $(or $(SEED),20261204) -fleet.seeds $(or $(SEEDS),100)
+
+# Runs real processes under faults from outside. LOGS keeps settings and logs.
+soak:
+	$(GO) test -count=1 -timeout 60m -run '^TestSoak$$' -v ./internal/standin/soak -soak.seed $(or $(SEED),20261204) \
+		-soak.seeds $(or $(SEEDS),5) -soak.rounds $(or $(ROUNDS),20) -soak.recover $(if $(LOGS),-soak.logs $(abspath $(LOGS)))
--- a/internal/standin/fleet/balancer.go
+++ b/internal/standin/fleet/balancer.go
@@ -41,6 +41,10 @@
 		world: w, index: index,
 		address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(index + 1)}), relayPort),
 	}
+	if w.config.Remote != nil {
+		b.misses = probeMisses
+		return b
+	}
 	b.start()
 	w.after(clock.Millis(w.random.IntN(int(probeInterval))), b.probe)
 	return b
--- a/internal/standin/fleet/client.go
+++ b/internal/standin/fleet/client.go
@@ -55,6 +55,9 @@
 	w.clients++
 	ip := netip.AddrFrom4([4]byte{100, 64, byte(w.clients >> 15), byte(w.clients >> 7)})
 	x.client = netip.AddrPortFrom(ip, uint16(1024+w.clients%128))
+	if w.config.Remote != nil {
+		x.client = w.remoteClient()
+	}
 	x.world, x.sequence, x.asked = w, w.random.Uint32(), map[uint64]bool{}
 	w.exchanges[x.client] = x
 	if x.request == 0 {
@@ -97,6 +100,10 @@
 func (x *exchange) send(h header) {
 	b := x.world.route(x.client, x.service)
 	raw := h.encode()
+	if remote := x.world.config.Remote; remote != nil {
+		remote.ToBalancer(b.index, raw)
+		return
+	}
 	b.receive(func() { b.machine.HandleClient(x.world.now, raw) })
 }
 
@@ -114,12 +121,13 @@
 
 // toClient carries a packet of the system or of an upstream to its client.
 func (w *World) toClient(raw []byte) {
-	w.deliver(func() {
-		h := decode(raw)
-		if x := w.exchanges[h.to]; x != nil && !x.ended {
-			x.handle(h)
-		}
-	})
+	w.deliver(func() { w.receiveClient(decode(raw)) })
+}
+
+func (w *World) receiveClient(h header) {
+	if x := w.exchanges[h.to]; x != nil && !x.ended {
+		x.handle(h)
+	}
 }
 
 func (x *exchange) handle(h header) {
--- a/internal/standin/fleet/faults.go
+++ b/internal/standin/fleet/faults.go
@@ -64,7 +64,10 @@
 	if u.removed || !u.draining {
 		return
 	}
-	if u.up {
+	switch remote := u.world.config.Remote; {
+	case remote != nil:
+		remote.Leave(u.index, u.id, u.bornAt)
+	case u.up:
 		u.registration.Leave(u.id, u.bornAt)
 		u.report(u.run)
 	}
--- a/internal/standin/fleet/upstream.go
+++ b/internal/standin/fleet/upstream.go
@@ -69,6 +69,9 @@
 		world: w, index: index, service: service,
 		address: netip.AddrPortFrom(ip, relayPort), app: netip.AddrPortFrom(ip, appPort),
 	}
+	if w.config.Remote != nil {
+		u.app = w.config.Remote.App(index)
+	}
 	w.upstreams = append(w.upstreams, u)
 	u.startUpstream()
 	u.startSidecar()
@@ -87,6 +90,9 @@
 func (u *upstreamHost) startSidecar() {
 	u.run++
 	u.up, u.born = true, 0
+	if u.world.config.Remote != nil {
+		return
+	}
 	u.registration = registration.New(registration.Config{Address: u.app, Service: serviceName(u.service)})
 	u.registration.Restore(u.drained)
 	u.machine = sidecar.New(sidecar.Config{
@@ -219,6 +225,10 @@
 	if !u.up {
 		return
 	}
+	if remote := u.world.config.Remote; remote != nil {
+		remote.Heartbeat(u.index, h)
+		return
+	}
 	if u.world.config.Mutant == LateHeartbeats {
 		u.registration = registration.New(registration.Config{Address: u.app, Service: serviceName(u.service)})
 	}
@@ -354,6 +364,10 @@
 
 // send gives a packet of the upstream to its sidecar.
 func (u *upstreamHost) send(raw []byte) {
+	if remote := u.world.config.Remote; remote != nil {
+		remote.ToSidecar(u.index, raw)
+		return
+	}
 	run := u.run
 	u.world.after(0, func() {
 		if u.up && u.run == run {
--- a/internal/standin/fleet/world.go
+++ b/internal/standin/fleet/world.go
@@ -41,6 +41,8 @@
 	Loss float64
 	// Mutant breaks one mechanism, to try the oracle.
 	Mutant Mutant
+	// Remote is set if balancers and sidecars run outside.
+	Remote *Remote
 }
 
 // Mutant is a mechanism that is broken on purpose.
--- /dev/null
+++ b/internal/standin/soak/faults.go
@@ -0,0 +1,122 @@
+package soak
+
+import (
+	"os"
+	"syscall"
+
+	"github.com/orioledyke/orioledyke/internal/common/clock"
+)
+
+// minServing is how many upstreams of a service stay when others leave.
+const minServing = 2
+
+// Fault makes one random fault, and returns its name.
+func (s *System) Fault() string {
+	w := s.world
+	b, u := s.balancers[w.Chance(len(s.balancers))], w.Chance(len(s.sidecars))
+	c := s.sidecars[u]
+	pause := s.now() + clock.Millis(300+w.Chance(3000))
+	mayLeave := w.Serving(w.Service(u)) > minServing && !c.gone
+	switch w.Chance(16) {
+	case 0:
+		b.kill()
+		return "kill " + b.name
+	case 1:
+		b.stop()
+		return "stop " + b.name
+	case 2:
+		b.signal(syscall.SIGSTOP)
+		b.paused = pause
+		return "pause " + b.name
+	case 3:
+		c.kill()
+		return "kill " + c.name
+	case 4:
+		c.stop()
+		return "restart " + c.name
+	case 5:
+		c.signal(syscall.SIGSTOP)
+		c.paused = pause
+		return "pause " + c.name
+	case 6:
+		w.RestartUpstream(u, clock.Millis(200+w.Chance(2000)))
+		return "restart the upstream of " + c.name
+	case 7:
+		if mayLeave {
+			w.Drain(u)
+			return "drain the upstream of " + c.name
+		}
+	case 8:
+		w.DelayedHeartbeat(u)
+		return "late heartbeat at " + c.name
+	case 9:
+		if err := s.addUpstream(w.Chance(s.config.Services)); err != nil {
+			s.fault("add an upstream: %v", err)
+		}
+		return "add an upstream"
+	case 10:
+		s.configure()
+		return "configure"
+	case 11:
+		t := trouble(w.Chance(int(troubleCount)))
+		s.store.set(t)
+		if w.Chance(2) == 0 {
+			s.store.lapse()
+		}
+		return "trouble of the store"
+	case 12:
+		s.store.compact()
+		return "store without history"
+	case 13:
+		h := []*host{b, c}[w.Chance(2)]
+		h.store.set(harm(w.Chance(int(harmCount))))
+		return "harm to the connections of " + h.name
+	case 14:
+		h := []*host{b, c}[w.Chance(2)]
+		h.store.reset()
+		return "reset of the connections of " + h.name
+	default:
+		if mayLeave && w.Chance(2) == 0 {
+			return s.reuse(u)
+		}
+		b.signal(syscall.SIGHUP)
+		return "reload " + b.name
+	}
+	return "nothing"
+}
+
+// reuse ends an upstream and its sidecar for good and gives their address to another
+// service.
+func (s *System) reuse(index int) string {
+	h := s.sidecars[index]
+	service := (s.world.Service(index) + 1) % s.config.Services
+	h.kill()
+	h.gone = true
+	s.world.ReuseAddress(index, service)
+	// The model starts the new upstream within a second.
+	at := s.now() + clock.Second
+	var start func()
+	start = func() {
+		if s.now() < at {
+			s.later(start)
+			return
+		}
+		if err := os.WriteFile(h.settings, []byte(s.settingsText(h, 2, index, s.sidecarSettings(index))), 0o600); err != nil {
+			s.fault("settings of %s: %v", h.name, err)
+		}
+		h.gone = false
+	}
+	s.later(start)
+	return "reuse the address of " + h.name
+}
+
+// Heal ends all faults.
+func (s *System) Heal() {
+	s.store.set(storeServes)
+	for _, h := range append(append([]*host(nil), s.balancers...), s.sidecars...) {
+		h.store.set(harmNone)
+		h.store.reset()
+		h.paused = 0
+		h.signal(syscall.SIGCONT)
+	}
+}
--- /dev/null
+++ b/internal/standin/soak/store.go
@@ -0,0 +1,333 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// trouble is how the store treats calls.
+type trouble int
+
+const (
+	storeServes trouble = iota
+	// storeRefuses answers 503, storeLimits 429, and neither does anything.
+	storeRefuses
+	storeLimits
+	// storeIsSlow answers late.
+	storeIsSlow
+	// storeLosesAnswers does what it is asked and closes the connection.
+	storeLosesAnswers
+	// storeIsSilent neither does nor answers anything.
+	storeIsSilent
+	troubleCount
+)
+
+const (
+	slowAnswer = 300 * time.Millisecond
+	// historyLength is the number of events that the store keeps.
+	historyLength = 200
+)
+
+// storeItem is a key, or an event in the history.
+type storeItem struct {
+	Key       string `json:"key"`
+	Value     string `json:"value,omitempty"`
+	Revision  uint64 `json:"revision"`
+	CreateRev uint64 `json:"createRev,omitempty"`
+	Lease     uint64 `json:"lease"`
+	Removed   bool   `json:"removed,omitempty"`
+}
+
+type lease struct {
+	ttl  time.Duration
+	ends time.Time
+}
+
+// store is a stand-in for the users' metadata store, by its published calls.
+type store struct {
+	mutex    sync.Mutex
+	items    map[string]storeItem
+	leases   map[uint64]*lease
+	history  []storeItem
+	revision uint64
+	// compacted is the last revision whose event is no longer known.
+	compacted uint64
+	lastLease uint64
+	trouble   trouble
+	// changed is closed and replaced with each change.
+	changed chan struct{}
+}
+
+func newStore() *store {
+	return &store{items: map[string]storeItem{}, leases: map[uint64]*lease{}, revision: 10, changed: make(chan struct{})}
+}
+
+// set changes how the store treats calls.
+func (s *store) set(t trouble) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.trouble = t
+}
+
+// put writes a key as the operator does.
+func (s *store) put(key, value string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.change(storeItem{Key: key, Value: value})
+}
+
+// compact forgets the history.
+func (s *store) compact() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.history, s.compacted = nil, s.revision
+}
+
+// lapse ends all leases.
+func (s *store) lapse() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for id := range s.leases {
+		s.end(id)
+	}
+}
+
+// change applies a put or a removal.
+func (s *store) change(item storeItem) {
+	s.revision++
+	item.Revision = s.revision
+	if item.Removed {
+		delete(s.items, item.Key)
+	} else {
+		item.CreateRev = s.revision
+		if old, ok := s.items[item.Key]; ok {
+			item.CreateRev = old.CreateRev
+		}
+		s.items[item.Key] = item
+	}
+	s.history = append(s.history, item)
+	if len(s.history) > historyLength {
+		s.compacted = s.history[0].Revision
+		s.history = s.history[1:]
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) end(id uint64) {
+	delete(s.leases, id)
+	for key, item := range s.items {
+		if item.Lease == id {
+			s.change(storeItem{Key: key, Removed: true})
+		}
+	}
+}
+
+// handler returns the calls of the store.
+func (s *store) handler() http.Handler {
+	mux := http.NewServeMux()
+	for pattern, call := range map[string]func(*http.Request) (int, any){
+		"GET /orioledyke/kv-key": s.key, "GET /orioledyke/kv-range": s.list, "GET /orioledyke/kv-watch": s.watch,
+		"POST /orioledyke/kv-txn": s.transaction, "POST /orioledyke/kv-lease": s.grant,
+		"POST /orioledyke/kv-keep/{id}": s.keep, "DELETE /orioledyke/kv-lease-end/{id}": s.revoke,
+	} {
+		mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) { s.serve(w, r, call) })
+	}
+	return mux
+}
+
+func (s *store) serve(w http.ResponseWriter, r *http.Request, call func(*http.Request) (int, any)) {
+	s.mutex.Lock()
+	current := s.trouble
+	for id, l := range s.leases {
+		if time.Now().After(l.ends) {
+			s.end(id)
+		}
+	}
+	s.mutex.Unlock()
+	switch current {
+	case storeRefuses:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case storeLimits:
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
+	case storeIsSilent:
+		<-r.Context().Done()
+		return
+	case storeIsSlow:
+		wait(r.Context(), slowAnswer)
+	}
+	status, body := call(r)
+	if current == storeLosesAnswers {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// The peer sees a failed write as a missing answer.
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+type empty struct{}
+
+func (s *store) key(r *http.Request) (int, any) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	item, ok := s.items[r.URL.Query().Get("key")]
+	if !ok {
+		return http.StatusNotFound, empty{}
+	}
+	return http.StatusOK, struct {
+		storeItem
+		StoreRevision uint64 `json:"storeRevision"`
+	}{item, s.revision}
+}
+
+func (s *store) list(r *http.Request) (int, any) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	query := r.URL.Query()
+	found := []storeItem{}
+	for key, item := range s.items {
+		if strings.HasPrefix(key, query.Get("prefix")) && key > query.Get("after") {
+			found = append(found, item)
+		}
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].Key < found[j].Key })
+	return http.StatusOK, struct {
+		Items         []storeItem `json:"items"`
+		Truncated     bool        `json:"truncated"`
+		StoreRevision uint64      `json:"storeRevision"`
+	}{found, false, s.revision}
+}
+
+func (s *store) watch(r *http.Request) (int, any) {
+	query := r.URL.Query()
+	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
+	if err != nil {
+		return http.StatusBadRequest, empty{}
+	}
+	waitMs, err := strconv.Atoi(query.Get("waitMs"))
+	if err != nil {
+		return http.StatusBadRequest, empty{}
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(waitMs)*time.Millisecond)
+	defer cancel()
+	for {
+		s.mutex.Lock()
+		events := []storeItem{}
+		for _, event := range s.history {
+			if event.Revision > after && strings.HasPrefix(event.Key, query.Get("prefix")) {
+				events = append(events, event)
+			}
+		}
+		revision, gone, changed := s.revision, after < s.compacted, s.changed
+		s.mutex.Unlock()
+		if gone {
+			return http.StatusGone, empty{}
+		}
+		if len(events) > 0 || ctx.Err() != nil {
+			return http.StatusOK, struct {
+				Events        []storeItem `json:"events"`
+				StoreRevision uint64      `json:"storeRevision"`
+			}{events, revision}
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+	}
+}
+
+func (s *store) transaction(r *http.Request) (int, any) {
+	var body struct {
+		Expected []storeItem `json:"expected"`
+		Puts     []storeItem `json:"puts"`
+		Remove   []string    `json:"remove"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		return http.StatusBadRequest, empty{}
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, expected := range body.Expected {
+		if s.items[expected.Key].Revision != expected.Revision {
+			return http.StatusPreconditionFailed, struct {
+				Items []storeItem `json:"items"`
+			}{[]storeItem{s.items[expected.Key]}}
+		}
+	}
+	for _, put := range body.Puts {
+		if _, ok := s.leases[put.Lease]; put.Lease != 0 && !ok {
+			return http.StatusNotFound, empty{}
+		}
+	}
+	for _, put := range body.Puts {
+		s.change(storeItem{Key: put.Key, Value: put.Value, Lease: put.Lease})
+	}
+	for _, key := range body.Remove {
+		s.change(storeItem{Key: key, Removed: true})
+	}
+	return http.StatusOK, map[string]uint64{"revision": s.revision}
+}
+
+func (s *store) grant(r *http.Request) (int, any) {
+	var body struct {
+		TTLMs int64 `json:"ttlMs"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		return http.StatusBadRequest, empty{}
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.lastLease++
+	ttl := time.Duration(body.TTLMs) * time.Millisecond
+	s.leases[s.lastLease] = &lease{ttl: ttl, ends: time.Now().Add(ttl)}
+	return http.StatusOK, map[string]any{"lease": s.lastLease, "ttlMs": body.TTLMs}
+}
+
+// leaseOf returns the lease that a call names. The caller holds the mutex.
+func (s *store) leaseOf(r *http.Request) (uint64, *lease) {
+	id, err := strconv.ParseUint(r.PathValue("id"), 10, 64)
+	if err != nil {
+		return 0, nil
+	}
+	return id, s.leases[id]
+}
+
+func (s *store) keep(r *http.Request) (int, any) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	_, l := s.leaseOf(r)
+	if l == nil {
+		return http.StatusNotFound, empty{}
+	}
+	l.ends = time.Now().Add(l.ttl)
+	return http.StatusOK, map[string]int64{"ttlMs": l.ttl.Milliseconds()}
+}
+
+func (s *store) revoke(r *http.Request) (int, any) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	id, l := s.leaseOf(r)
+	if l == nil {
+		return http.StatusNotFound, empty{}
+	}
+	s.end(id)
+	return http.StatusOK, empty{}
+}
