flow: Keep control within 8 KB a second at 500 balancers

Cause: a test at 500 balancers and 4,700 sidecars counted 110,760 bytes of digests in 20 s without the heads of datagrams; with the reports that a balancer gets this passed 8 KB/s.

Change: digests name 32 hosts and lists go to 4 balancers, and a balancer asks for 45 reports a second. Since reports are further apart, a sidecar that did not answer is chosen last until it is heard again.

--- a/internal/flow/balancer/opening_test.go
+++ b/internal/flow/balancer/opening_test.go
@@ -85,3 +85,26 @@
 	h.balancer.HandleClient(h.now, packet(openFlags, 1, 0))
 	h.c.Assert(h.messages[0].Late, qt.IsTrue)
 }
+
+// Guards against new flows that are offered again and again to a sidecar that has ended,
+// until its reports are missed.
+func TestSilentSidecarIsChosenLast(t *testing.T) {
+	h := newHarness(t)
+	report := func(i int, active uint16) {
+		h.balancer.HandleSidecar(h.now, sidecars[i], relay.Message{Kind: relay.KindReport, Report: relay.Report{
+			Service: portal, DataCentre: "agassiz", Accepting: true, Slots: 3, Interval: 2000, Load: relay.Load{Active: active},
+		}})
+	}
+	report(0, 0)
+	report(1, 2)
+	h.balancer.HandleClient(h.now, packetFrom(1, openFlags, 0, 0))
+	h.advance(30)
+	h.c.Assert(h.take(), qt.DeepEquals, []string{sidecars[0].String(), sidecars[1].String()})
+	h.now += 1500
+	report(1, 2)
+	h.balancer.HandleClient(h.now, packetFrom(2, openFlags, 0, 0))
+	h.c.Assert(h.take(), qt.DeepEquals, []string{sidecars[1].String()})
+	report(0, 0)
+	h.balancer.HandleClient(h.now, packetFrom(3, openFlags, 0, 0))
+	h.c.Assert(h.take(), qt.DeepEquals, []string{sidecars[0].String()})
+}
--- a/internal/flow/balancer/sidecar.go
+++ b/internal/flow/balancer/sidecar.go
@@ -32,7 +32,8 @@
 	// busyTime is how long a sidecar that was too busy for a flow is not asked again:
 	// about the time in which one of its slots becomes free.
 	busyTime clock.Millis = 20
-	// latePenalty is how long a sidecar that did not answer is chosen last.
+	// latePenalty is how long at least a sidecar that did not answer is chosen last. It
+	// ends with the next news of the sidecar.
 	latePenalty = clock.Second
 )
 
@@ -95,7 +96,7 @@
 	if c.report.DataCentre != dataCentre {
 		cost += remoteCost
 	}
-	if c.isLate && now-c.lateAt < latePenalty {
+	if c.isLate && (now-c.lateAt < latePenalty || c.heard <= c.lateAt) {
 		cost += lateCost
 	}
 	return cost
--- a/internal/flow/node/digest.go
+++ b/internal/flow/node/digest.go
@@ -14,22 +14,22 @@
 
 const (
 	// digestInterval is the time between two rounds of digests, and roundDigests how
-	// many hosts get one in a round: 64 of some 60 bytes in a second, half of the 8 KB
-	// that control may take in a large system.
+	// many hosts get one in a round: 64 of 51 bytes in a second with the heads of
+	// datagrams, of the 8 KB that control may take in a large system.
 	digestInterval clock.Millis = 500
 	roundDigests                = 32
 	// listRounds is the number of rounds of which one has lists of hosts, which go to
 	// the sidecars that this balancer informs and to listPeers balancers.
 	listRounds = 10
-	listPeers  = 8
+	listPeers  = 4
 	// maxNamed is how many balancers and how many sidecars one digest names.
-	maxNamed = 128
+	maxNamed = 32
 	// spreadPeers is how many balancers hear at once of a new configuration. Each of
 	// them tells as many, so that three steps reach 500.
 	spreadPeers = 16
 	// reportShare is the time between reports for each sidecar that a balancer hears:
-	// it gets 62 reports of 73 bytes in a second at most, the other half.
-	reportShare clock.Millis = 16
+	// it gets 45 reports of 73 bytes in a second at most.
+	reportShare clock.Millis = 22
 	// siblingInterval is the time between two looks for changed services.
 	siblingInterval clock.Millis = 100
 )
--- /dev/null
+++ b/internal/flow/node/digest_test.go
@@ -0,0 +1,124 @@
+package node
+
+import (
+	"net"
+	"net/netip"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/common/settings"
+	"github.com/orioledyke/orioledyke/internal/flow/balancer"
+	"github.com/orioledyke/orioledyke/internal/flow/relay"
+	"github.com/orioledyke/orioledyke/internal/flow/roster"
+)
+
+// digestRecorder receives the digests of a balancer to any loopback address.
+type digestRecorder struct {
+	c        *qt.C
+	node     *balancerNode
+	listener *net.UDPConn
+	sender   *net.UDPConn
+}
+
+func newDigestRecorder(t *testing.T) *digestRecorder {
+	c := qt.New(t)
+	r := &digestRecorder{c: c}
+	var err error
+	r.listener, err = net.ListenUDP("udp4", &net.UDPAddr{})
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = r.listener.Close() })
+	r.sender, err = net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = r.sender.Close() })
+	self := netip.AddrPortFrom(netip.MustParseAddr("127.1.0.1"), r.listener.LocalAddr().(*net.UDPAddr).AddrPort().Port())
+	r.node = &balancerNode{
+		base: &base{
+			settings: settings.FlowProcess{RelayAddress: self}, relay: r.sender, clock: clock.System(),
+			balancers: roster.New(self.Addr()),
+		},
+		sidecars: roster.New(self.Addr()),
+		machine:  balancer.New(balancer.Config{}),
+	}
+	r.node.digests = &digests{node: r.node}
+	return r
+}
+
+// round returns the digests of one round. Datagrams over loopback stay in order, so that
+// one to the listener itself marks the end.
+func (r *digestRecorder) round(now clock.Millis) []relay.Digest {
+	r.node.digests.sendRound(now)
+	_, err := r.sender.WriteToUDPAddrPort([]byte{0}, r.node.settings.RelayAddress)
+	r.c.Assert(err, qt.IsNil)
+	var digests []relay.Digest
+	buffer := make([]byte, relay.MaxMessage)
+	for {
+		n, _, err := r.listener.ReadFromUDPAddrPort(buffer)
+		r.c.Assert(err, qt.IsNil)
+		if n == 1 {
+			return digests
+		}
+		m, err := relay.Decode(buffer[:n])
+		r.c.Assert(err, qt.IsNil)
+		digests = append(digests, m.Digest)
+	}
+}
+
+// hear lets the balancer hear balancers and sidecars.
+func (r *digestRecorder) hear(balancers, sidecars int) {
+	for i := range balancers {
+		r.node.balancers.Heard(0, netip.AddrFrom4([4]byte{127, 2, byte(i >> 8), byte(i)}), clock.Minute)
+	}
+	for i := range sidecars {
+		r.node.sidecars.Heard(0, netip.AddrFrom4([4]byte{127, 3, byte(i >> 8), byte(i)}), clock.Minute)
+	}
+}
+
+const (
+	// datagramHead is the size of the heads of IPv4 and UDP.
+	datagramHead = 28
+	// controlBudget is what a node may spend for control, in bytes a second (users'
+	// target).
+	controlBudget = 8 << 10
+)
+
+// Guards against control traffic that grows with the number of hosts, and against hosts
+// that are not told when the next digest comes.
+func TestDigestsAreBounded(t *testing.T) {
+	r := newDigestRecorder(t)
+	const balancers, sidecars = 500, 4700
+	r.hear(balancers, sidecars)
+	total, bytes := 0, 0
+	const rounds = 40
+	for i := range rounds {
+		now := clock.Millis(i) * digestInterval
+		digests := r.round(now)
+		total += len(digests)
+		bytes += len(digests) * datagramHead
+		for _, d := range digests {
+			m := relay.Message{Kind: relay.KindDigest, Digest: d}
+			data, err := m.Append(nil)
+			r.c.Assert(err, qt.IsNil)
+			bytes += len(data)
+			r.c.Assert(d.Interval, qt.Equals, digestInterval*clock.Millis(roster.Rounds(balancers+sidecars, roundDigests)))
+			r.c.Assert(d.ReportInterval, qt.Equals, sidecars*reportShare)
+		}
+	}
+	r.c.Assert(total >= rounds*roundDigests, qt.IsTrue)
+	seconds := rounds * int(digestInterval) / int(clock.Second)
+	report := relay.Message{Kind: relay.KindReport, Report: relay.Report{DataCentre: "fraser-valley"}}
+	data, err := report.Append(nil)
+	r.c.Assert(err, qt.IsNil)
+	reports := sidecars * seconds * int(clock.Second) / int(sidecars*reportShare)
+	bytes += reports * (len(data) + datagramHead)
+	r.c.Assert(bytes <= seconds*controlBudget, qt.IsTrue, qt.Commentf("%d bytes in %d s", bytes, seconds))
+}
+
+// Guards against small systems in which hosts hear of each other late.
+func TestSmallSystemHearsEachRound(t *testing.T) {
+	r := newDigestRecorder(t)
+	r.hear(7, 10)
+	for i := range listRounds - 1 {
+		r.c.Assert(r.round(clock.Millis(i)*digestInterval), qt.HasLen, 17)
+	}
+}
