standin: Judge requests that run twice; share the load of tests

The oracle of package fleet did not judge that a request which may not be repeated runs once at most; a method that would have told was not called. Two copies of the code that opens flows of any kind are one.

--- a/internal/standin/fleet/client.go
+++ b/internal/standin/fleet/client.go
@@ -51,6 +51,17 @@
 	w.openFlow(&exchange{service: serviceAddress(service), remaining: requests, repeatable: repeatable})
 }
 
+// OpenAny makes a client open a flow of any of some services, for one request that may
+// not be repeated or for several that may.
+func (w *World) OpenAny(services int) {
+	service := w.Chance(services)
+	if w.Chance(3) == 0 {
+		w.Open(service, 1, false)
+		return
+	}
+	w.Open(service, 3+w.Chance(8), true)
+}
+
 func (w *World) openFlow(x *exchange) {
 	w.clients++
 	ip := netip.AddrFrom4([4]byte{100, 64, byte(w.clients >> 15), byte(w.clients >> 7)})
@@ -77,6 +88,9 @@
 func (x *exchange) newRequest() {
 	x.world.requests++
 	x.request, x.began, x.try = x.world.requests, x.world.now, 1
+	if !x.repeatable {
+		x.world.once[x.request] = true
+	}
 	x.watchDeadline(x.request)
 }
 
@@ -210,15 +224,3 @@
 		next.watchDeadline(next.request)
 	}
 }
-
-// Repeated returns the requests that ran more than once although no client may
-// repeat them.
-func (w *World) Repeated(repeatable func(request uint64) bool) []uint64 {
-	var repeated []uint64
-	for request, runs := range w.runs {
-		if runs > 1 && !repeatable(request) {
-			repeated = append(repeated, request)
-		}
-	}
-	return repeated
-}
--- a/internal/standin/fleet/fleet_test.go
+++ b/internal/standin/fleet/fleet_test.go
@@ -18,12 +18,7 @@
 // load opens flows of all services for some seconds.
 func load(w *fleet.World, services int, seconds int) {
 	for range seconds * 20 {
-		service := w.Chance(services)
-		if w.Chance(3) == 0 {
-			w.Open(service, 1, false)
-		} else {
-			w.Open(service, 3+w.Chance(8), true)
-		}
+		w.OpenAny(services)
 		w.Run(clock.Second / 20)
 	}
 }
--- a/internal/standin/fleet/upstream.go
+++ b/internal/standin/fleet/upstream.go
@@ -317,6 +317,9 @@
 	work := func() {
 		u.running++
 		u.world.runs[h.request]++
+		if u.world.once[h.request] && u.world.runs[h.request] > 1 {
+			u.world.fault("request %d ran %d times", h.request, u.world.runs[h.request])
+		}
 		born := u.bornAt
 		u.world.after(clock.Millis(workTime/2+u.world.random.IntN(workTime)), func() {
 			if u.alive && u.bornAt == born {
--- a/internal/standin/fleet/world.go
+++ b/internal/standin/fleet/world.go
@@ -90,7 +90,9 @@
 	version   uint64
 	clients   int
 	requests  uint64
-	runs      map[uint64]int
+	// runs counts how often each request ran, and once are those that may run once.
+	runs map[uint64]int
+	once map[uint64]bool
 	// exchanges are the tries of clients by the client's address.
 	exchanges map[netip.AddrPort]*exchange
 	faults    []string
@@ -102,7 +104,7 @@
 func New(config Config) *World {
 	w := &World{
 		config: config, random: rand.New(rand.NewPCG(config.Seed, 1)), version: 1,
-		runs: map[uint64]int{}, exchanges: map[netip.AddrPort]*exchange{},
+		runs: map[uint64]int{}, once: map[uint64]bool{}, exchanges: map[netip.AddrPort]*exchange{},
 	}
 	for i := range config.Balancers {
 		w.balancers = append(w.balancers, newBalancerHost(w, i))
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -35,12 +35,7 @@
 // load opens flows for some seconds.
 func (s *System) load(seconds int) {
 	for range seconds * 20 {
-		service := s.world.Chance(s.config.Services)
-		if s.world.Chance(3) == 0 {
-			s.world.Open(service, 1, false)
-		} else {
-			s.world.Open(service, 3+s.world.Chance(8), true)
-		}
+		s.world.OpenAny(s.config.Services)
 		s.Run(clock.Second / 20)
 	}
 }
