--- a/internal/standin/soak/faults.go
+++ b/internal/standin/soak/faults.go
@@ -58,19 +58,19 @@
 		s.configure()
 		return "configure"
 	case 11:
-		t := trouble(w.Chance(int(troubleCount)))
-		s.store.set(t)
+		f := storeFault(w.Chance(int(storeFaultCount)))
+		s.store.set(f)
 		if w.Chance(2) == 0 {
 			s.store.lapse()
 		}
-		return "trouble of the store"
+		return "fault of the store"
 	case 12:
 		s.store.compact()
 		return "store without history"
 	case 13:
 		h := []*host{b, c}[w.Chance(2)]
-		h.store.set(harm(w.Chance(int(harmCount))))
-		return "harm to the connections of " + h.name
+		h.store.set(linkFault(w.Chance(int(linkFaultCount))))
+		return "fault of the connections of " + h.name
 	case 14:
 		h := []*host{b, c}[w.Chance(2)]
 		h.store.reset()
@@ -114,7 +114,7 @@
 func (s *System) Heal() {
 	s.store.set(storeServes)
 	for _, h := range append(append([]*host(nil), s.balancers...), s.sidecars...) {
-		h.store.set(harmNone)
+		h.store.set(linkWorks)
 		h.store.reset()
 		h.paused = 0
 		h.signal(syscall.SIGCONT)
--- a/internal/standin/soak/proxy.go
+++ b/internal/standin/soak/proxy.go
@@ -9,30 +9,30 @@
 	"time"
 )
 
-// harm is what a proxy does to the connections through it.
-type harm int
+// linkFault is what a proxy does to the connections through it.
+type linkFault int
 
 const (
-	harmNone harm = iota
-	// harmDelay holds bytes back for a while.
-	harmDelay
-	// harmCutAnswers and harmCutCalls lose the bytes of one direction.
-	harmCutAnswers
-	harmCutCalls
-	// harmSilence loses the bytes of connections that are open when it begins; new ones
+	linkWorks linkFault = iota
+	// linkDelays holds bytes back for a while.
+	linkDelays
+	// linkLosesAnswers and linkLosesCalls lose the bytes of one direction.
+	linkLosesAnswers
+	linkLosesCalls
+	// linkFallsSilent loses the bytes of connections that are open when it begins; new ones
 	// work.
-	harmSilence
-	harmCount
+	linkFallsSilent
+	linkFaultCount
 )
 
-const harmDelayTime = 200 * time.Millisecond
+const delayTime = 200 * time.Millisecond
 
 // proxy passes TCP connections on to an address.
 type proxy struct {
 	target   netip.AddrPort
 	listener net.Listener
 	mutex    sync.Mutex
-	harm     harm
+	fault    linkFault
 	pairs    map[*pair]bool
 	closed   bool
 }
@@ -73,13 +73,13 @@
 		}
 		p.pairs[c] = true
 		p.mutex.Unlock()
-		go p.pass(c, c.answer, c.call, harmCutCalls)
-		go p.pass(c, c.call, c.answer, harmCutAnswers)
+		go p.pass(c, c.answer, c.call, linkLosesCalls)
+		go p.pass(c, c.call, c.answer, linkLosesAnswers)
 	}
 }
 
-// pass copies bytes until a connection ends. cut is the harm that loses them.
-func (p *proxy) pass(c *pair, to, from net.Conn, cut harm) {
+// pass copies bytes until a connection ends. cut is the fault that loses them.
+func (p *proxy) pass(c *pair, to, from net.Conn, cut linkFault) {
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
@@ -87,13 +87,13 @@
 			break
 		}
 		p.mutex.Lock()
-		current, silent := p.harm, c.silent
+		current, silent := p.fault, c.silent
 		p.mutex.Unlock()
 		if silent || current == cut {
 			continue
 		}
-		if current == harmDelay {
-			time.Sleep(harmDelayTime)
+		if current == linkDelays {
+			time.Sleep(delayTime)
 		}
 		if _, err := to.Write(buffer[:n]); err != nil {
 			break
@@ -107,11 +107,11 @@
 }
 
 // set changes what the proxy does.
-func (p *proxy) set(h harm) {
+func (p *proxy) set(f linkFault) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.harm = h
-	if h == harmSilence {
+	p.fault = f
+	if f == linkFallsSilent {
 		for c := range p.pairs {
 			c.silent = true
 		}
--- a/internal/standin/soak/store.go
+++ b/internal/standin/soak/store.go
@@ -11,11 +11,11 @@
 	"time"
 )
 
-// trouble is how the store treats calls.
-type trouble int
+// storeFault is how the store treats calls.
+type storeFault int
 
 const (
-	storeServes trouble = iota
+	storeServes storeFault = iota
 	// storeRefuses answers 503, storeLimits 429, and neither does anything.
 	storeRefuses
 	storeLimits
@@ -25,7 +25,7 @@
 	storeLosesAnswers
 	// storeIsSilent neither does nor answers anything.
 	storeIsSilent
-	troubleCount
+	storeFaultCount
 )
 
 const (
@@ -59,7 +59,7 @@
 	// compacted is the last revision whose event is no longer known.
 	compacted uint64
 	lastLease uint64
-	trouble   trouble
+	fault     storeFault
 	// changed is closed and replaced with each change.
 	changed chan struct{}
 }
@@ -69,10 +69,10 @@
 }
 
 // set changes how the store treats calls.
-func (s *store) set(t trouble) {
+func (s *store) set(f storeFault) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.trouble = t
+	s.fault = f
 }
 
 // put writes a key as the operator does.
@@ -144,7 +144,7 @@
 
 func (s *store) serve(w http.ResponseWriter, r *http.Request, call func(*http.Request) (int, any)) {
 	s.mutex.Lock()
-	current := s.trouble
+	current := s.fault
 	for id, l := range s.leases {
 		if time.Now().After(l.ends) {
 			s.end(id)
