control: Report ready only with contracts in effect

Cause: a starting balancer became ready when its state machine held the complete state. The callbacks that apply contracts run later, in their own goroutine.

Change: a callback that follows those of the complete state sets the ready flag; the status and the ready endpoint of balancers and sidecars use it. Publishing one contract no longer counts as having read all of them: a balancer without neighbours was ready after the first of several.

Ruled out: a process that starts with the state of a peer that is behind.

--- a/internal/control/membership/balancer.go
+++ b/internal/control/membership/balancer.go
@@ -39,7 +39,7 @@
 	aliases map[netip.AddrPort]netip.AddrPort
 	// seedsRequestedAt is the time of the last request for seeds.
 	seedsRequestedAt clock.Millis
-	// contractsRead is set by Publish and MarkComplete.
+	// contractsRead is set by MarkComplete.
 	contractsRead bool
 	// complete is the result of Ready.
 	complete bool
@@ -102,9 +102,9 @@
 	return b.Tick(now)
 }
 
-// Publish distributes a contract that was read from the platform.
+// Publish distributes a contract that was read from the platform. Others may still be
+// missing until MarkComplete is called.
 func (b *Balancer) Publish(now clock.Millis, c Contract) Actions {
-	b.contractsRead = true
 	b.mergeContract(c, nil)
 	return b.Tick(now)
 }
--- a/internal/control/peer/balancer.go
+++ b/internal/control/peer/balancer.go
@@ -81,7 +81,7 @@
 	r.onSeeds, r.onClosed, r.onResponse = b.machine.SetSeeds, b.machine.StreamClosed, b.machine.ReceiveResponse
 	r.onReleased = b.machine.StreamReleased
 	r.onSync, r.onTick = b.machine.Receive, b.machine.Tick
-	r.enqueueCallbacks = b.enqueueCallbacks
+	r.enqueueCallbacks, r.machineReady = b.enqueueCallbacks, b.machine.Ready
 	b.server = grpc.NewServer(
 		grpc.Creds(credentials.NewTLS(config.Keys.TLS(protocolName))),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingInterval, Timeout: pingTimeout}),
@@ -138,14 +138,11 @@
 	b.runtime.step(func(now clock.Millis) membership.Actions { return b.machine.SetState(now, state) })
 }
 
-// Ready reports whether the balancer holds the complete state. It becomes ready
-// when a neighbour has sent its complete state. If no neighbour is ready, it
-// becomes ready when the seeds are known and contracts have been published.
-func (b *Balancer) Ready() bool {
-	b.runtime.mu.Lock()
-	defer b.runtime.mu.Unlock()
-	return b.machine.Ready()
-}
+// Ready reports whether the balancer holds the complete state and the callbacks with
+// that state have returned. The state is complete when a neighbour has sent its complete
+// state. If no neighbour is ready, it is complete when the seeds are known and contracts
+// have been published.
+func (b *Balancer) Ready() bool { return b.runtime.ready.Load() }
 
 // Contracts returns the revisions held, in alphabetical order of customers.
 func (b *Balancer) Contracts() []*controlpb.ContractStatus {
@@ -183,6 +180,7 @@
 	b.runtime.mu.Lock()
 	defer b.runtime.mu.Unlock()
 	response := b.machine.Status(request.GetCustomer())
+	response.Ready = b.runtime.ready.Load()
 	if b.config.InEffect != nil {
 		for _, c := range response.GetContracts() {
 			c.Revision = b.config.InEffect(c.GetCustomer())
--- a/internal/control/peer/runtime.go
+++ b/internal/control/peer/runtime.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/orioledyke/orioledyke/internal/common/clock"
@@ -57,6 +58,12 @@
 	onSync           func(now clock.Millis, id membership.StreamID, m *controlpb.SyncMessage) membership.Actions
 	onTick           func(now clock.Millis) membership.Actions
 	enqueueCallbacks func(membership.Actions)
+	// machineReady reports whether the state machine holds the complete state.
+	machineReady func() bool
+	// readyQueued is set when the callback that sets ready is queued.
+	readyQueued bool
+	// ready is set when the callbacks with the complete state have returned.
+	ready atomic.Bool
 }
 
 // stream is an open gRPC stream. Either side may have opened it.
@@ -194,6 +201,10 @@
 		r.fetchSeeds()
 	}
 	r.enqueueCallbacks(actions)
+	if !r.readyQueued && r.machineReady() {
+		r.readyQueued = true
+		r.enqueueCallback(func() { r.ready.Store(true) })
+	}
 }
 
 // enqueueMessage queues a message. If the queue is full because the peer does
--- a/internal/control/peer/sidecar.go
+++ b/internal/control/peer/sidecar.go
@@ -52,7 +52,7 @@
 	r := s.runtime
 	r.onSeeds, r.onClosed, r.onResponse = s.machine.SetSeeds, s.machine.StreamClosed, s.machine.ReceiveResponse
 	r.onTick = s.machine.Tick
-	r.enqueueCallbacks = s.enqueueCallbacks
+	r.enqueueCallbacks, r.machineReady = s.enqueueCallbacks, s.machine.Ready
 	r.start(ctx, func() { s.Announce(membership.StateLeft, 0) })
 	return s, nil
 }
@@ -75,12 +75,9 @@
 	s.runtime.step(func(now clock.Millis) membership.Actions { return s.machine.SetSelf(now, state, weight) })
 }
 
-// Ready reports whether a watcher has sent its complete state.
-func (s *Sidecar) Ready() bool {
-	s.runtime.mu.Lock()
-	defer s.runtime.mu.Unlock()
-	return s.machine.Ready()
-}
+// Ready reports whether a watcher has sent its complete state and the callbacks with that
+// state have returned.
+func (s *Sidecar) Ready() bool { return s.runtime.ready.Load() }
 
 // Wait blocks until the sidecar has shut down after its context ended.
 func (s *Sidecar) Wait() { s.runtime.tasks.Wait() }
