flow: Search all services that may hold a flow

Cause: routes have several targets with weights, and a configuration moves the weights or drops a target while flows to it are open.

Change: sidecars list in their reports the addresses to which their upstreams hold flows, and report a new address within 200 ms. A balancer searches the targets of the route, the targets of the configurations that it has seen replaced within the last 120 s, and the services that list the address. A sidecar that still learns its flows after a restart says that its list is not complete; such services are searched four at a time, and a flow is reset only after all of them have answered. One search sends one message to each service that is known to hold flows of the address, whatever the number of services. Reports without the list, from older processes, count as not complete.

The stand-in fleet now moves and drops the targets of routes. Two mutants are planted and caught. Hints are sent in a fixed order, so that a seed repeats exactly.

--- a/internal/flow/balancer/balancer.go
+++ b/internal/flow/balancer/balancer.go
@@ -151,6 +151,7 @@
 	// changedServices are the services that a sidecar has joined or left since the
 	// last call of TakeHostsOfChangedServices.
 	changedServices map[identity.ServiceID]bool
+	holders         holders
 	flows           map[segment.Key]*flow
 	// waiting holds the pending flows that no sidecar can take now, and the bulk flows
 	// that wait for the link.
@@ -185,12 +186,12 @@
 	bulk    bool
 	pending *pendingFlow
 	// searchAttempts counts the attempts to find the owner. Each attempt requests one
-	// sidecar of each service to search.
+	// sidecar of each service that it queries to search.
 	searchAttempts int
 	// lastSearch is when the last attempt to find the owner began.
 	lastSearch clock.Millis
-	// absentServices are the services in which the last attempt has found that no
-	// upstream holds the flow.
+	// absentServices are the services in which these attempts have found that no upstream
+	// holds the flow.
 	absentServices []identity.ServiceID
 	// acknowledged is the position that the client acknowledged in the last packet for
 	// which a search was requested.
@@ -213,6 +214,7 @@
 		sidecars:        map[netip.AddrPort]*sidecar{},
 		services:        map[identity.ServiceID][]*sidecar{},
 		changedServices: map[identity.ServiceID]bool{},
+		holders:         newHolders(),
 		flows:           map[segment.Key]*flow{},
 		bulkFlows:       map[segment.Key]struct{}{}, bulkLimit: maxBulkFlows(config.LinkRate),
 	}
@@ -220,10 +222,11 @@
 
 // SetTable puts a configuration into effect. It returns false, without effect, if the
 // configuration is not newer than the current one.
-func (b *Balancer) SetTable(t *route.Table) bool {
+func (b *Balancer) SetTable(now clock.Millis, t *route.Table) bool {
 	if b.table != nil && t.Version() <= b.table.Version() {
 		return false
 	}
+	b.holders.addTargets(now, b.table)
 	b.table = t
 	return true
 }
@@ -274,10 +277,14 @@
 	case relay.KindClaimed:
 		b.applyLoad(now, from, m.Load)
 		f := b.ensureFlow(now, m.Key)
-		f.owner, f.accepted, f.searchAttempts = from, true, 0
+		f.owner, f.accepted = from, true
+		f.endSearch()
+		if sc := b.sidecars[from]; sc != nil {
+			f.service = sc.report.Service
+		}
 		b.record(Event{Outcome: OutcomeClaimed, Key: m.Key, Sidecar: from})
 	case relay.KindAbsent:
-		b.handleAbsent(from, m)
+		b.handleAbsent(now, from, m)
 	case relay.KindNotHeld:
 		b.handleNotHeld(now, from, m.Packet)
 	}
@@ -383,4 +390,5 @@
 		}
 	}
 	b.expireSidecars(now)
+	b.holders.expire(now)
 }
--- a/internal/flow/balancer/search.go
+++ b/internal/flow/balancer/search.go
@@ -8,6 +8,7 @@
 	"github.com/orioledyke/orioledyke/internal/common/identity"
 	"github.com/orioledyke/orioledyke/internal/flow/locator"
 	"github.com/orioledyke/orioledyke/internal/flow/relay"
+	"github.com/orioledyke/orioledyke/internal/flow/route"
 	"github.com/orioledyke/orioledyke/internal/flow/segment"
 )
 
@@ -18,10 +19,17 @@
 	// searchTimeout is how long a sidecar may take to find an owner. After that, the
 	// flow's next packet goes to another sidecar. Clients retransmit packets after 200 ms.
 	searchTimeout clock.Millis = 100
+	// absenceTTL is how long the absence of a flow from a service remains valid without a
+	// further packet of the flow. It exceeds the longest retransmission interval of
+	// clients and is shorter than the time after which they reuse a port.
+	absenceTTL = 4 * clock.Second
 )
 
-// search asks a sidecar of each service of the route to find the owner of a
-// packet's flow. The owner gets the packet and claims the flow.
+// endSearch forgets the attempts to find the owner.
+func (f *flow) endSearch() { f.searchAttempts, f.absentServices = 0, nil }
+
+// search asks a sidecar of each service that may hold a packet's flow to find the owner
+// of the flow. The owner gets the packet and claims the flow.
 func (b *Balancer) search(now clock.Millis, s segment.Segment, packet []byte) {
 	r, ok := b.table.Lookup(s.Key.Service())
 	if !ok {
@@ -37,14 +45,19 @@
 	}
 	b.searchesInWindow++
 	f := b.ensureFlow(now, s.Key)
+	if now-f.lastSearch >= absenceTTL {
+		f.endSearch()
+	}
 	if f.searchAttempts == 0 || now-f.lastSearch >= searchTimeout {
 		f.searchAttempts++
-		f.lastSearch, f.absentServices = now, nil
+		f.lastSearch = now
 	}
 	f.acknowledged, f.awaitsResponse = s.Acknowledged, s.Length > 0
-	for _, target := range r.Targets {
-		if to, ok := b.searchTarget(now, s.Key, target.Service, f.searchAttempts-1); ok {
-			b.forward(to, relay.KindSearch, target.Service, packet)
+	services := append(b.holders.known(now, r), b.holders.page(f.searchAttempts-1)...)
+	slices.Sort(services)
+	for _, service := range slices.Compact(services) {
+		if to, ok := b.searchTarget(now, s.Key, service, f.searchAttempts-1); ok {
+			b.forward(to, relay.KindSearch, service, packet)
 			b.record(Event{
 				Outcome: OutcomeSearched, Key: s.Key, Sidecar: to, Version: b.table.Version(), Attempt: f.searchAttempts,
 			})
@@ -74,11 +87,11 @@
 }
 
 // handleAbsent handles a search that found no owner. If the searches in all services
-// of the route covered all sidecars, no upstream holds the flow. The flow is then reset,
-// so that a client with a request in progress need not wait for its deadline. A flow is
-// left alone if a sidecar that was not queried or has not reported yet may be the owner,
-// or if the client does not wait for a response.
-func (b *Balancer) handleAbsent(from netip.AddrPort, m relay.Message) {
+// that may hold the flow covered all sidecars, no upstream holds it. The flow is then
+// reset, so that a client with a request in progress need not wait for its deadline. A
+// flow is left alone if a sidecar that was not queried or has not reported yet may be the
+// owner, or if the client does not wait for a response.
+func (b *Balancer) handleAbsent(now clock.Millis, from netip.AddrPort, m relay.Message) {
 	f, sc := b.flows[m.Key], b.sidecars[from]
 	if f == nil || sc == nil || f.owner.IsValid() || !f.awaitsResponse {
 		return
@@ -87,17 +100,23 @@
 		b.record(Event{Outcome: OutcomeUnresolved, Key: m.Key, Sidecar: from, Attempt: int(m.Queried)})
 		return
 	}
-	f.absentServices = append(f.absentServices, sc.report.Service)
+	if !slices.Contains(f.absentServices, sc.report.Service) {
+		f.absentServices = append(f.absentServices, sc.report.Service)
+	}
 	r, ok := b.table.Lookup(m.Key.Service())
-	if !ok {
+	if !ok || b.mayBeHeld(now, f, r) {
 		return
 	}
-	for _, target := range r.Targets {
-		if !slices.Contains(f.absentServices, target.Service) {
-			return
-		}
-	}
 	delete(b.flows, m.Key)
 	b.record(Event{Outcome: OutcomeLost, Key: m.Key, Sidecar: from, Version: b.table.Version(), Attempt: int(m.Queried)})
 	b.config.ToClient(m.Key.Client().Addr(), b.config.Reset(m.Key, f.acknowledged))
 }
+
+// mayBeHeld reports whether a service in which the flow was not found to be absent may
+// hold it. A service without sidecars holds no flows.
+func (b *Balancer) mayBeHeld(now clock.Millis, f *flow, r route.Route) bool {
+	possible := func(service identity.ServiceID) bool {
+		return len(b.services[service]) > 0 && !slices.Contains(f.absentServices, service)
+	}
+	return slices.ContainsFunc(b.holders.known(now, r), possible) || slices.ContainsFunc(b.holders.unlistedServices, possible)
+}
--- a/internal/flow/balancer/sidecar.go
+++ b/internal/flow/balancer/sidecar.go
@@ -54,6 +54,8 @@
 	unresponsiveAt clock.Millis
 	// unresponsive is set from then until the sidecar responds or has a new incarnation.
 	unresponsive bool
+	// unlisted is set if the sidecar may hold flows to addresses that it does not list.
+	unlisted bool
 	// busyUntil is the time until which no new flow at all is placed on the sidecar.
 	// pastGoalBusyUntil is the time until which no flow past its latency goal is placed
 	// on the sidecar.
@@ -135,6 +137,8 @@
 		delete(b.sidecars, from)
 		return
 	}
+	b.holders.addReport(now, r)
+	b.setUnlisted(sc, !r.AllListed)
 	if r.Accepting {
 		b.retryWaiting(now)
 	}
@@ -193,7 +197,21 @@
 	b.services[service] = append(b.services[service], sc)
 }
 
+// setUnlisted records whether a sidecar may hold flows to addresses that it does not list.
+func (b *Balancer) setUnlisted(sc *sidecar, unlisted bool) {
+	if sc.unlisted == unlisted {
+		return
+	}
+	sc.unlisted = unlisted
+	change := 1
+	if !unlisted {
+		change = -1
+	}
+	b.holders.countUnlisted(sc.report.Service, change)
+}
+
 func (b *Balancer) removeFromService(sc *sidecar) {
+	b.setUnlisted(sc, false)
 	members := b.services[sc.report.Service]
 	b.changedServices[sc.report.Service] = true
 	members = slices.DeleteFunc(slices.Clone(members), func(m *sidecar) bool { return m == sc })
--- a/internal/flow/node/balancer.go
+++ b/internal/flow/node/balancer.go
@@ -278,7 +278,7 @@
 	}
 	table := route.NewTable(config)
 	n.mutex.Lock()
-	applied := n.machine.SetTable(table)
+	applied := n.machine.SetTable(n.clock.Now(), table)
 	if applied {
 		n.digests.spread(n.clock.Now())
 	}
--- a/internal/flow/node/sidecar.go
+++ b/internal/flow/node/sidecar.go
@@ -306,7 +306,7 @@
 	}
 	live := n.balancers.Live(now)
 	n.currentReportInterval = min(max(minReportInterval, reportIntervalPerBalancer*clock.Millis(len(live)), n.requestedInterval), maxReportInterval)
-	if now-n.lastReport >= n.currentReportInterval {
+	if n.machine.TakeAddressesChanged() || now-n.lastReport >= n.currentReportInterval {
 		n.lastReport = now
 		n.reportTo(live)
 	}
@@ -355,10 +355,12 @@
 // reportTo sends a report to the given hosts of balancers.
 func (n *sidecarNode) reportTo(hosts []netip.Addr) {
 	current, _ := n.registration.Current()
+	addresses, all := n.machine.Addresses()
 	m := relay.Message{Kind: relay.KindReport, Report: relay.Report{
 		Incarnation: n.incarnation, Service: platform.ServiceID(n.sidecarSettings.Service), DataCentre: n.settings.DataCentre,
 		Accepting: n.machine.Accepting(), Departed: n.departed, Slots: current.Slots,
 		Warmup: n.registration.Warmup(n.clock.Now()), Interval: n.currentReportInterval, Load: n.machine.Load(),
+		Addresses: addresses, AllListed: all,
 	}}
 	data, err := m.Append(nil)
 	if err != nil {
--- a/internal/flow/relay/message.go
+++ b/internal/flow/relay/message.go
@@ -93,7 +93,7 @@
 	// Incarnation identifies one run of the sidecar process.
 	Incarnation identity.OwnerID
 	Service     identity.ServiceID
-	// DataCentre is truncated to 255 bytes.
+	// DataCentre is truncated to the space that the addresses leave of 254 bytes.
 	DataCentre string
 	// Accepting is set while the upstream takes new flows.
 	Accepting bool
@@ -106,6 +106,13 @@
 	// Interval is the time until the sender's next report.
 	Interval clock.Millis
 	Load     Load
+	// Addresses are addresses of routes to which the upstream may hold flows, at most
+	// MaxReportAddresses. They may belong to routes that now have other targets.
+	Addresses []netip.AddrPort
+	// AllListed is set if Addresses contains the addresses of all these flows. It is
+	// clear while the sidecar learns the flows of its upstream after a restart, and if
+	// there are too many addresses.
+	AllListed bool
 }
 
 // Message is one datagram. Kind determines which other fields are set.
--- a/internal/flow/relay/report.go
+++ b/internal/flow/relay/report.go
@@ -8,17 +8,28 @@
 )
 
 // An encoded report consists of the kind, flags, incarnation, service, slots, warm-up,
-// interval, load, and the data centre up to the end of the datagram.
+// interval, load, the number of addresses, the addresses, and the data centre up to the
+// end of the datagram. Without flagAddresses, the number of addresses and the addresses
+// are missing. Receivers without that flag take them for a part of the data centre, which
+// is harmless as long as the length is valid.
 const (
-	reportHeaderSize   = 2 + identity.OwnerIDSize + identity.ServiceIDSize + 2 + 4 + 2 + 4
-	maxDataCentreBytes = 255
-	flagAccepting      = 1
-	flagDeparted       = 2
-	maxReportSlots     = 1<<16 - 1
+	reportHeaderSize = 2 + identity.OwnerIDSize + identity.ServiceIDSize + 2 + 4 + 2 + 4
+	// maxReportTail is the maximum length of what follows the header.
+	maxReportTail  = 255
+	flagAccepting  = 1
+	flagDeparted   = 2
+	flagAddresses  = 4
+	flagAllListed  = 8
+	maxReportSlots = 1<<16 - 1
+	// MaxReportAddresses is the maximum number of addresses in a report.
+	MaxReportAddresses = 32
 )
 
 func (r *Report) append(b []byte) []byte {
-	var flags byte
+	flags := byte(flagAddresses)
+	if r.AllListed && len(r.Addresses) <= MaxReportAddresses {
+		flags |= flagAllListed
+	}
 	if r.Accepting {
 		flags |= flagAccepting
 	}
@@ -35,11 +46,19 @@
 	b = binary.BigEndian.AppendUint16(b, uint16(max(r.Interval, 0)))
 	b = binary.BigEndian.AppendUint16(b, r.Load.Active)
 	b = binary.BigEndian.AppendUint16(b, r.Load.Flows)
-	return append(b, r.DataCentre[:min(len(r.DataCentre), maxDataCentreBytes)]...)
+	addresses := r.Addresses[:min(len(r.Addresses), MaxReportAddresses)]
+	b = append(b, byte(len(addresses)))
+	for _, address := range addresses {
+		var encoded [addressSize]byte
+		putAddress(encoded[:], address)
+		b = append(b, encoded[:]...)
+	}
+	rest := maxReportTail - 1 - len(addresses)*addressSize
+	return append(b, r.DataCentre[:min(len(r.DataCentre), rest)]...)
 }
 
 func decodeReport(data []byte) (Report, error) {
-	if len(data) < reportHeaderSize || len(data) > reportHeaderSize+maxDataCentreBytes {
+	if len(data) < reportHeaderSize || len(data) > reportHeaderSize+maxReportTail {
 		return Report{}, errInvalidMessage
 	}
 	b := data[2:]
@@ -54,6 +73,19 @@
 	r.Warmup = clock.Millis(binary.BigEndian.Uint32(b[2:]))
 	r.Interval = clock.Millis(binary.BigEndian.Uint16(b[6:]))
 	r.Load = Load{Active: binary.BigEndian.Uint16(b[8:]), Flows: binary.BigEndian.Uint16(b[10:])}
-	r.DataCentre = string(b[12:])
+	tail := b[12:]
+	if data[1]&flagAddresses != 0 {
+		if len(tail) == 0 || len(tail)-1 < int(tail[0])*addressSize || tail[0] > MaxReportAddresses {
+			return Report{}, errInvalidMessage
+		}
+		count := int(tail[0])
+		tail = tail[1:]
+		for range count {
+			r.Addresses = append(r.Addresses, getAddress(tail))
+			tail = tail[addressSize:]
+		}
+		r.AllListed = data[1]&flagAllListed != 0
+	}
+	r.DataCentre = string(tail)
 	return r, nil
 }
--- a/internal/flow/route/table.go
+++ b/internal/flow/route/table.go
@@ -3,6 +3,8 @@
 package route
 
 import (
+	"iter"
+	"maps"
 	"net/netip"
 
 	"github.com/orioledyke/orioledyke/internal/common/clock"
@@ -92,6 +94,14 @@
 	return len(t.routes)
 }
 
+// Routes returns all routes, in no particular order.
+func (t *Table) Routes() iter.Seq[Route] {
+	if t == nil {
+		return func(func(Route) bool) {}
+	}
+	return maps.Values(t.routes)
+}
+
 // Lookup returns the route of an address, and false if there is none.
 func (t *Table) Lookup(address netip.AddrPort) (Route, bool) {
 	if t == nil {
--- a/internal/flow/segment/segment.go
+++ b/internal/flow/segment/segment.go
@@ -4,6 +4,7 @@
 package segment
 
 import (
+	"cmp"
 	"encoding/binary"
 	"net/netip"
 
@@ -53,6 +54,11 @@
 	return xxhash.Sum64(k.Append(buffer[:0]))
 }
 
+// Compare returns an integer that orders keys by client and then by service.
+func (k Key) Compare(other Key) int {
+	return cmp.Or(k.Client().Compare(other.Client()), k.Service().Compare(other.Service()))
+}
+
 // Append appends the KeySize bytes of the encoded key to b.
 func (k Key) Append(b []byte) []byte {
 	b = binary.BigEndian.AppendUint32(b, k.clientIP)
--- a/internal/flow/sidecar/search.go
+++ b/internal/flow/sidecar/search.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"maps"
 	"net/netip"
 	"slices"
 
@@ -166,7 +167,10 @@
 		}
 		f.locators = selection
 	}
-	for to, keys := range updates {
+	// A fixed order makes simulated runs repeatable.
+	for _, to := range slices.SortedFunc(maps.Keys(updates), netip.AddrPort.Compare) {
+		keys := updates[to]
+		slices.SortFunc(keys, segment.Key.Compare)
 		for batch := range slices.Chunk(keys, relay.MaxHintKeys) {
 			s.send(to, relay.Message{Kind: relay.KindHint, Keys: batch})
 		}
--- a/internal/flow/sidecar/sidecar.go
+++ b/internal/flow/sidecar/sidecar.go
@@ -6,7 +6,9 @@
 package sidecar
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
 
 	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/internal/common/identity"
@@ -152,12 +154,17 @@
 	refusalReason relay.Reason
 	// learning is set while the upstream may hold flows that this process does not know,
 	// because the process started after the upstream or has dropped its flows.
-	learning       bool
-	flows          map[segment.Key]*flow
-	activeRequests int
-	flowCount      int
-	search         search
-	capacity       capacity
+	learning bool
+	flows    map[segment.Key]*flow
+	// addresses counts the flows to each address.
+	addresses map[netip.AddrPort]int
+	// addressesChanged is set when an address has been added to addresses, or a learned
+	// one may have been, since the last call of TakeAddressesChanged.
+	addressesChanged bool
+	activeRequests   int
+	flowCount        int
+	search           search
+	capacity         capacity
 	// unansweredOffers counts the offers since the last packet of the upstream. A
 	// retransmitted request for the same flow counts again.
 	unansweredOffers int
@@ -182,7 +189,7 @@
 	}
 	return &Sidecar{
 		config: config, refusalReason: relay.ReasonUnregistered, flows: map[segment.Key]*flow{},
-		search: newSearch(),
+		addresses: map[netip.AddrPort]int{}, search: newSearch(),
 	}
 }
 
@@ -207,7 +214,7 @@
 // also sets learning. Until SetLearning clears it, the upstream itself decides which
 // flows it holds.
 func (s *Sidecar) DropFlows() {
-	s.flows = map[segment.Key]*flow{}
+	s.flows, s.addresses = map[segment.Key]*flow{}, map[netip.AddrPort]int{}
 	s.activeRequests, s.flowCount = 0, 0
 	s.capacity.reset()
 	s.learning = true
@@ -220,6 +227,21 @@
 	return relay.Load{Active: uint16(min(s.activeRequests+s.capacity.expectedRequests, limit)), Flows: uint16(min(s.flowCount, limit))}
 }
 
+// Addresses returns the addresses of routes to which the upstream holds flows, in order,
+// and whether these are all of them. They are not while the sidecar learns flows.
+func (s *Sidecar) Addresses() (addresses []netip.AddrPort, all bool) {
+	return slices.SortedFunc(maps.Keys(s.addresses), netip.AddrPort.Compare), !s.learning
+}
+
+// TakeAddressesChanged reports whether flows to a further address were added since the
+// last call. Balancers must learn of such an address soon, because a new configuration may
+// remove this service from the targets of the route.
+func (s *Sidecar) TakeAddressesChanged() bool {
+	changed := s.addressesChanged
+	s.addressesChanged = false
+	return changed
+}
+
 // Count returns how often an outcome has occurred.
 func (s *Sidecar) Count(o Outcome) uint64 { return s.counts[o] }
 
@@ -401,6 +423,9 @@
 	f := &flow{state: state, firstSeen: now, lastSeen: now}
 	s.flows[key] = f
 	s.flowCount++
+	address := key.Service()
+	s.addressesChanged = s.addressesChanged || s.addresses[address] == 0
+	s.addresses[address]++
 	return f
 }
 
@@ -493,6 +518,9 @@
 		return
 	}
 	delete(s.flows, key)
+	if s.addresses[key.Service()]--; s.addresses[key.Service()] <= 0 {
+		delete(s.addresses, key.Service())
+	}
 	s.capacity.stopExpecting(f)
 	s.flowCount--
 	if f.busy {
--- a/internal/standin/fleet/cluster.go
+++ b/internal/standin/fleet/cluster.go
@@ -1,8 +1,7 @@
 // Package fleet simulates the users' platform in one process on a virtual clock. Routers,
 // clients and upstreams surround the decision logic of balancers and sidecars, faults are
 // injected, and an oracle checks what clients and upstreams observe. All random draws come
-// from one seed. Runs of a seed can still differ, because a sidecar sends its owner hints
-// in the order of a Go map.
+// from one seed, so that runs of a seed do not differ.
 package fleet
 
 import (
@@ -73,6 +72,12 @@
 	ResponsesMisdelivered
 	// ResetOnSearch resets a flow when the search for its owner starts.
 	ResetOnSearch
+	// CurrentTargetsSearched makes a balancer search for the owner of a flow only in the
+	// services that are targets of the flow's route now.
+	CurrentTargetsSearched
+	// AddressesUnlisted makes the reports of sidecars list no addresses, as if their
+	// upstreams held no flows.
+	AddressesUnlisted
 	mutantEnd
 )
 
@@ -96,6 +101,7 @@
 	upstreams  []*upstreamHost
 	// version is that of the current configuration.
 	version uint64
+	targets targets
 	// flowCount is the number of flows that clients have started.
 	flowCount int
 	// lastRequestID is the ID of the last request. It is also the number of requests so
@@ -116,7 +122,7 @@
 // sidecar runs in the cluster.
 func New(config Config) *Cluster {
 	c := &Cluster{
-		config: config, random: rand.New(rand.NewPCG(config.Seed, 1)), version: 1,
+		config: config, random: rand.New(rand.NewPCG(config.Seed, 1)), version: 1, targets: newTargets(config.Services),
 		executions: map[uint64]int{}, notRepeatable: map[uint64]bool{}, clientFlows: map[netip.AddrPort]*clientFlow{},
 	}
 	for i := range config.Balancers {
