flow: Tell clients of lost flows at once

Cause: after a loss of power, searches for the flows of before stayed undecided. The same happened while a balancer waited for a host that had failed before it was listed.

Change: a sidecar that has been silent for a second, or for four of its reports if that is longer, counts as lost: searches and lists of siblings leave it out. A sidecar that stops says so in its reports and is waited for up to 60 s, since its upstream may go on; the same holds for older processes, whose reports cannot say so. A newly listed host is awaited for 2.5 s.

Ruled out: a shorter membership of silent sidecars (their upstreams may hold flows that other balancers still forward).

--- a/internal/flow/balancer/balancer.go
+++ b/internal/flow/balancer/balancer.go
@@ -171,6 +171,8 @@
 	// searchesInWindow counts the searches in the second from searchWindowStart.
 	searchWindowStart clock.Millis
 	searchesInWindow  int
+	unresolved        []*unresolvedFlow
+	lastLossCheck     clock.Millis
 	counts            [OutcomeCount]uint64
 }
 
@@ -193,6 +195,8 @@
 	// absentServices are the services in which these attempts have found that no upstream
 	// holds the flow.
 	absentServices []identity.ServiceID
+	// unresolved is set while the search for the owner is to be repeated.
+	unresolved *unresolvedFlow
 	// acknowledged is the position that the client acknowledged in the last packet for
 	// which a search was requested.
 	acknowledged uint32
@@ -357,7 +361,7 @@
 }
 
 // NextDeadline returns the time at which Tick must next be called for pending flows, or
-// 0 if no flow waits for a sidecar, for the link or for a response.
+// 0 if no flow waits for a sidecar, for the link, for a response or for its owner.
 func (b *Balancer) NextDeadline() clock.Millis {
 	var next clock.Millis
 	if len(b.waiting) > 0 {
@@ -366,13 +370,22 @@
 	if len(b.attempts) > 0 && (next == 0 || b.attempts[0].deadline < next) {
 		next = b.attempts[0].deadline
 	}
+	if repeat := b.nextRepeat(); repeat > 0 && (next == 0 || repeat < next) {
+		next = repeat
+	}
 	return next
 }
 
 // Tick tries again to place the waiting flows, places flows whose response is overdue
-// on further sidecars, and removes expired state once a second.
+// on further sidecars, repeats searches, finds lost sidecars, and removes expired state
+// once a second.
 func (b *Balancer) Tick(now clock.Millis) {
 	b.retryPending(now)
+	b.repeatSearches(now)
+	if now-b.lastLossCheck >= lossCheckInterval {
+		b.lastLossCheck = now
+		b.findLostSidecars(now)
+	}
 	if now-b.lastSweep >= clock.Second {
 		b.lastSweep = now
 		b.sweep(now)
--- a/internal/flow/balancer/search.go
+++ b/internal/flow/balancer/search.go
@@ -26,7 +26,7 @@
 )
 
 // endSearch forgets the attempts to find the owner.
-func (f *flow) endSearch() { f.searchAttempts, f.absentServices = 0, nil }
+func (f *flow) endSearch() { f.searchAttempts, f.absentServices, f.unresolved = 0, nil, nil }
 
 // search asks a sidecar of each service that may hold a packet's flow to find the owner
 // of the flow. The owner gets the packet and claims the flow.
@@ -36,18 +36,21 @@
 		b.record(Event{Outcome: OutcomeNoRoute, Key: s.Key, Version: b.table.Version()})
 		return
 	}
-	if now-b.searchWindowStart >= clock.Second {
-		b.searchWindowStart, b.searchesInWindow = now, 0
-	}
-	if b.searchesInWindow >= maxSearchesPerSecond {
+	if b.searchLimitReached(now, maxSearchesPerSecond) {
 		b.record(Event{Outcome: OutcomeLimited, Key: s.Key})
 		return
 	}
-	b.searchesInWindow++
 	f := b.ensureFlow(now, s.Key)
 	if now-f.lastSearch >= absenceTTL {
 		f.endSearch()
 	}
+	b.retainUnresolved(now, f, s, packet)
+	b.searchOwner(now, f, s, r, packet)
+}
+
+// searchOwner makes one attempt to find the owner of a packet's flow.
+func (b *Balancer) searchOwner(now clock.Millis, f *flow, s segment.Segment, r route.Route, packet []byte) {
+	b.searchesInWindow++
 	if f.searchAttempts == 0 || now-f.lastSearch >= searchTimeout {
 		f.searchAttempts++
 		f.lastSearch = now
@@ -65,6 +68,15 @@
 	}
 }
 
+// searchLimitReached reports whether at least limit searches were made in the current
+// second.
+func (b *Balancer) searchLimitReached(now clock.Millis, limit int) bool {
+	if now-b.searchWindowStart >= clock.Second {
+		b.searchWindowStart, b.searchesInWindow = now, 0
+	}
+	return b.searchesInWindow >= limit
+}
+
 // searchTarget returns a sidecar that can search for the owner of a flow. The first
 // attempts select the flow's locators in order, because they may know the owner, and
 // later attempts select random sidecars. attempt counts from 0.
@@ -87,7 +99,7 @@
 }
 
 // handleAbsent handles a search that found no owner. If the searches in all services
-// that may hold the flow covered all sidecars, no upstream holds it. The flow is then
+// that may hold the flow covered all reachable sidecars, no upstream can serve it. The flow is then
 // reset, so that a client with a request in progress need not wait for its deadline. A
 // flow is left alone if a sidecar that was not queried or has not reported yet may be the
 // owner, or if the client does not wait for a response.
@@ -96,7 +108,7 @@
 	if f == nil || sc == nil || f.owner.IsValid() || !f.awaitsResponse {
 		return
 	}
-	if int(m.Queried) < len(b.services[sc.report.Service]) || !b.config.AllReported() {
+	if int(m.Queried) < b.reachable(sc.report.Service) || !b.config.AllReported() {
 		b.record(Event{Outcome: OutcomeUnresolved, Key: m.Key, Sidecar: from, Attempt: int(m.Queried)})
 		return
 	}
@@ -113,10 +125,11 @@
 }
 
 // mayBeHeld reports whether a service in which the flow was not found to be absent may
-// hold it. A service without sidecars holds no flows.
+// hold it. A service without sidecars, or with lost ones only, has no upstream that can
+// serve the flow.
 func (b *Balancer) mayBeHeld(now clock.Millis, f *flow, r route.Route) bool {
 	possible := func(service identity.ServiceID) bool {
-		return len(b.services[service]) > 0 && !slices.Contains(f.absentServices, service)
+		return b.reachable(service) > 0 && !slices.Contains(f.absentServices, service)
 	}
 	return slices.ContainsFunc(b.holders.known(now, r), possible) || slices.ContainsFunc(b.holders.unlistedServices, possible)
 }
--- a/internal/flow/balancer/sidecar.go
+++ b/internal/flow/balancer/sidecar.go
@@ -18,6 +18,10 @@
 	// sidecarTTL is how long a silent sidecar is kept as a member of its service, because
 	// its upstream may still hold flows.
 	sidecarTTL = 60 * clock.Second
+	// lostTimeout is how long a sidecar may be silent before it counts as lost, if it has
+	// not announced that it stops. lossCheckInterval is the time between two checks.
+	lostTimeout       clock.Millis = 1000
+	lossCheckInterval clock.Millis = 200
 	// openFlowCost is the load that each open flow adds, as a fraction of a slot. Requests
 	// in progress count in addition, each as a whole slot.
 	openFlowCost = 0.03
@@ -54,6 +58,9 @@
 	unresponsiveAt clock.Millis
 	// unresponsive is set from then until the sidecar responds or has a new incarnation.
 	unresponsive bool
+	// lost is set while the sidecar has been silent for too long. Its upstream cannot be
+	// reached, so no search waits for it.
+	lost bool
 	// unlisted is set if the sidecar may hold flows to addresses that it does not list.
 	unlisted bool
 	// busyUntil is the time until which no new flow at all is placed on the sidecar.
@@ -72,12 +79,20 @@
 
 // live reports whether the last message with the sidecar's load is recent: at most
 // maxMissedReports reports are missing.
-func (sc *sidecar) live(now clock.Millis) bool {
+func (sc *sidecar) live(now clock.Millis) bool { return now-sc.lastSeen <= sc.liveTimeout() }
+
+func (sc *sidecar) liveTimeout() clock.Millis {
 	interval := sc.report.Interval
 	if interval == 0 {
 		interval = defaultReportInterval
 	}
-	return now-sc.lastSeen <= maxMissedReports*interval
+	return maxMissedReports * interval
+}
+
+// silentTooLong reports whether the sidecar has been silent for so long that it has
+// probably failed. A sidecar that stops for a restart is expected back.
+func (sc *sidecar) silentTooLong(now clock.Millis) bool {
+	return !sc.report.Stopping && !sc.report.Legacy && now-sc.lastSeen > max(lostTimeout, sc.liveTimeout())
 }
 
 // full reports whether a new flow would wait too long for a slot. pastGoal is set if the
@@ -131,6 +146,7 @@
 	if sc.report.Incarnation != r.Incarnation {
 		sc.unresponsive = false
 	}
+	b.setLost(sc, false)
 	sc.report, sc.lastSeen, sc.placed = r, now, 0
 	if r.Departed {
 		b.removeFromService(sc)
@@ -144,33 +160,37 @@
 	}
 }
 
-// TakeHostsOfChangedServices returns the hosts of all sidecars of those services that
-// sidecars have joined or left since the last call, in order of address.
+// TakeHostsOfChangedServices returns the hosts of the sidecars of those services that
+// sidecars have joined or left since the last call, in order of address. Lost sidecars
+// have left.
 func (b *Balancer) TakeHostsOfChangedServices() []netip.Addr {
 	var hosts []netip.Addr
 	for service := range b.changedServices {
-		for _, member := range b.services[service] {
-			hosts = append(hosts, member.address.Addr())
-		}
+		hosts = appendHosts(hosts, b.services[service])
 	}
 	clear(b.changedServices)
 	slices.SortFunc(hosts, netip.Addr.Compare)
 	return hosts
 }
 
-// ServiceHosts returns the hosts of all sidecars of the service that a sidecar belongs to,
-// including its own. It returns false if the sidecar is unknown.
+// appendHosts appends the hosts of those sidecars that are not lost.
+func appendHosts(hosts []netip.Addr, sidecars []*sidecar) []netip.Addr {
+	for _, sc := range sidecars {
+		if !sc.lost {
+			hosts = append(hosts, sc.address.Addr())
+		}
+	}
+	return hosts
+}
+
+// ServiceHosts returns the hosts of the sidecars of the service that a sidecar belongs to,
+// including its own, without lost ones. It returns false if the sidecar is unknown.
 func (b *Balancer) ServiceHosts(sidecarAddress netip.AddrPort) ([]netip.Addr, bool) {
 	sc := b.sidecars[sidecarAddress]
 	if sc == nil {
 		return nil, false
 	}
-	members := b.services[sc.report.Service]
-	hosts := make([]netip.Addr, 0, len(members))
-	for _, member := range members {
-		hosts = append(hosts, member.address.Addr())
-	}
-	return hosts, true
+	return appendHosts(nil, b.services[sc.report.Service]), true
 }
 
 // Sidecars returns the hosts of the sidecars whose upstreams may hold flows, in order
@@ -187,6 +207,7 @@
 func (b *Balancer) applyLoad(now clock.Millis, from netip.AddrPort, load relay.Load) {
 	if sc := b.sidecars[from]; sc != nil {
 		sc.report.Load, sc.lastSeen, sc.unresponsive = load, now, false
+		b.setLost(sc, false)
 		sc.placed = max(sc.placed-1, 0)
 	}
 }
@@ -197,6 +218,19 @@
 	b.services[service] = append(b.services[service], sc)
 }
 
+// setLost records whether a sidecar has been silent for too long.
+func (b *Balancer) setLost(sc *sidecar, lost bool) {
+	if sc.lost != lost {
+		sc.lost = lost
+		b.changedServices[sc.report.Service] = true
+	}
+}
+
+// reachable returns the number of sidecars of a service that are not lost.
+func (b *Balancer) reachable(service identity.ServiceID) int {
+	return len(appendHosts(nil, b.services[service]))
+}
+
 // setUnlisted records whether a sidecar may hold flows to addresses that it does not list.
 func (b *Balancer) setUnlisted(sc *sidecar, unlisted bool) {
 	if sc.unlisted == unlisted {
@@ -222,6 +256,7 @@
 	b.services[sc.report.Service] = members
 }
 
+// expireSidecars removes the sidecars that have been silent for sidecarTTL.
 func (b *Balancer) expireSidecars(now clock.Millis) {
 	for address, sc := range b.sidecars {
 		if now-sc.lastSeen > sidecarTTL {
@@ -231,6 +266,15 @@
 	}
 }
 
+// findLostSidecars marks the sidecars that have been silent for too long.
+func (b *Balancer) findLostSidecars(now clock.Millis) {
+	for _, sc := range b.sidecars {
+		if sc.silentTooLong(now) {
+			b.setLost(sc, true)
+		}
+	}
+}
+
 // UsableSidecars returns the number of sidecars that may get new flows.
 func (b *Balancer) UsableSidecars(now clock.Millis) int {
 	count := 0
--- /dev/null
+++ b/internal/flow/balancer/unresolved_test.go
@@ -0,0 +1,102 @@
+package balancer_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/flow/relay"
+)
+
+// reportState sends the report of a sidecar that lists all its addresses.
+func (h *harness) reportState(i int, stopping bool) {
+	h.balancer.HandleSidecar(h.now, sidecars[i], relay.Message{Kind: relay.KindReport, Report: relay.Report{
+		Service: portal, DataCentre: "agassiz", Accepting: !stopping, Stopping: stopping, Slots: 3, Interval: 200, AllListed: true,
+	}})
+}
+
+// reportWithout lets time pass while all sidecars but the given one report.
+func (h *harness) reportWithout(silent int, d clock.Millis) {
+	for end := h.now + d; h.now < end; {
+		for i := range sidecars {
+			if i != silent {
+				h.reportState(i, false)
+			}
+		}
+		h.advance(100)
+	}
+}
+
+func (h *harness) absentFrom(i, queried int) {
+	h.balancer.HandleSidecar(h.now, sidecars[i], relay.Message{Kind: relay.KindAbsent, Key: key, Queried: uint16(queried)})
+}
+
+// Guards against clients that wait for their deadlines because a host failed for good and
+// no search can ever cover its sidecar.
+func TestSearchDoesNotWaitForLostSidecar(t *testing.T) {
+	h := newHarness(t)
+	for i := range sidecars {
+		h.reportState(i, false)
+	}
+	h.balancer.HandleClient(h.now, packet(ackFlags, 8, 100))
+	h.absentFrom(0, 2)
+	h.c.Assert(h.resets, qt.Equals, 0)
+	h.balancer.TakeHostsOfChangedServices()
+
+	h.reportWithout(2, 2*clock.Second)
+	h.c.Assert(h.balancer.TakeHostsOfChangedServices(), qt.HasLen, 2)
+	hosts, known := h.balancer.ServiceHosts(sidecars[0])
+	h.c.Assert(known, qt.IsTrue)
+	h.c.Assert(hosts, qt.HasLen, 2)
+	h.balancer.HandleClient(h.now, packet(ackFlags, 8, 100))
+	h.absentFrom(0, 2)
+	h.c.Assert(h.resets, qt.Equals, 1)
+
+	h.reportState(2, false)
+	h.c.Assert(h.balancer.TakeHostsOfChangedServices(), qt.HasLen, 3)
+}
+
+// Guards against a reset of a flow whose sidecar is restarted by an operator.
+func TestSearchWaitsForStoppingSidecar(t *testing.T) {
+	h := newHarness(t)
+	for i := range sidecars {
+		h.reportState(i, i == 2)
+	}
+	h.reportWithout(2, 5*clock.Second)
+	h.balancer.HandleClient(h.now, packet(ackFlags, 8, 100))
+	h.absentFrom(0, 2)
+	h.c.Assert(h.resets, qt.Equals, 0)
+}
+
+// Guards against a client that learns only after its next retransmission that no upstream
+// holds its flow, when it has no time left to try again.
+func TestSearchIsRepeated(t *testing.T) {
+	h := newHarness(t)
+	h.allReported = false
+	for i := range sidecars {
+		h.reportState(i, false)
+	}
+	h.balancer.HandleClient(h.now, packet(ackFlags, 8, 100))
+	h.absentFrom(0, 3)
+	h.c.Assert(h.resets, qt.Equals, 0)
+	h.takeForwards()
+	h.allReported = true
+	h.advance(150)
+	h.c.Assert(h.takeForwards(), qt.DeepEquals, []string{searchRequest})
+	h.absentFrom(0, 3)
+	h.c.Assert(h.resets, qt.Equals, 1)
+	h.advance(clock.Second)
+	h.c.Assert(h.takeForwards(), qt.HasLen, 0)
+}
+
+// Guards against searches that never end for a client that has given up.
+func TestRepeatedSearchEnds(t *testing.T) {
+	h := newHarness(t)
+	for i := range sidecars {
+		h.reportState(i, false)
+	}
+	h.balancer.HandleClient(h.now, packet(ackFlags, 8, 100))
+	h.reportWithout(-1, 5*clock.Second)
+	h.c.Assert(len(h.takeForwards()) <= 5, qt.IsTrue)
+	h.c.Assert(h.balancer.NextDeadline(), qt.Equals, clock.Millis(0))
+}
--- a/internal/flow/node/balancer.go
+++ b/internal/flow/node/balancer.go
@@ -104,7 +104,9 @@
 	n.addTimer("siblings", siblingInterval, func(context.Context) {
 		n.mutex.Lock()
 		defer n.mutex.Unlock()
-		n.digests.sendSiblings(n.clock.Now())
+		now := n.clock.Now()
+		n.machine.Tick(now)
+		n.digests.sendSiblings(now)
 	})
 	n.tree.Add("configuration", configuration.New(configuration.Config{
 		Read: n.store.Configuration, Watch: n.store.WatchConfiguration,
@@ -148,8 +150,11 @@
 // setTimer starts a timer for the next deadline of the machine, such as that of a
 // missing response, unless a timer is already set.
 func (n *balancerNode) setTimer(now clock.Millis) {
+	if n.timerSet {
+		return
+	}
 	next := n.machine.NextDeadline()
-	if n.timerSet || next == 0 {
+	if next == 0 {
 		return
 	}
 	n.timerSet = true
@@ -196,7 +201,7 @@
 	if n.directory.wasRead.Load() {
 		wait = reportWaitWithDirectory
 	}
-	return now-n.startedAt >= wait && len(n.sidecars.NeverSeen(now)) == 0
+	return now-n.startedAt >= wait && len(n.sidecars.Awaited(now)) == 0
 }
 
 // requestFetch fetches the configuration of a peer in the background. It does nothing if
--- a/internal/flow/node/digest.go
+++ b/internal/flow/node/digest.go
@@ -30,7 +30,7 @@
 	// balancers.
 	spreadPeers = 16
 	// reportIntervalPerSidecar is the time that each live sidecar adds to the interval
-	// between the reports of one sidecar. A balancer thus gets at most 45 reports of 73
+	// between the reports of one sidecar. A balancer thus gets at most 45 reports of 80
 	// bytes a second.
 	reportIntervalPerSidecar clock.Millis = 22
 	// siblingInterval is the time between two checks for services whose sidecars have
--- a/internal/flow/node/sidecar.go
+++ b/internal/flow/node/sidecar.go
@@ -358,7 +358,7 @@
 	addresses, all := n.machine.Addresses()
 	m := relay.Message{Kind: relay.KindReport, Report: relay.Report{
 		Incarnation: n.incarnation, Service: platform.ServiceID(n.sidecarSettings.Service), DataCentre: n.settings.DataCentre,
-		Accepting: n.machine.Accepting(), Departed: n.departed, Slots: current.Slots,
+		Accepting: n.machine.Accepting(), Departed: n.departed, Stopping: n.stopping, Slots: current.Slots,
 		Warmup: n.registration.Warmup(n.clock.Now()), Interval: n.currentReportInterval, Load: n.machine.Load(),
 		Addresses: addresses, AllListed: all,
 	}}
@@ -386,6 +386,7 @@
 	startedAt := n.clock.Now()
 	n.mutex.Lock()
 	n.applyRegistration(startedAt)
+	n.reportTo(n.balancers.Live(startedAt))
 	n.mutex.Unlock()
 	idleSince := startedAt
 	for sleep(ctx, drainPollInterval) == nil {
@@ -403,15 +404,12 @@
 	}
 }
 
-// depart notifies the live balancers that the upstream holds no flow any more, and removes
-// the host from the directory. It does nothing unless the upstream has ended before its
-// sidecar.
+// depart sends the last report to the live balancers. If the upstream has ended before its
+// sidecar, depart also removes the host from the directory.
 func (n *sidecarNode) depart(now clock.Millis) {
 	n.mutex.Lock()
 	n.departed = n.registration.Deregistered() || n.upstreamAbsent(now)
-	if n.departed {
-		n.reportTo(n.balancers.Live(now))
-	}
+	n.reportTo(n.balancers.Live(now))
 	departed := n.departed
 	n.mutex.Unlock()
 	if departed {
--- a/internal/flow/peerset/peerset.go
+++ b/internal/flow/peerset/peerset.go
@@ -22,12 +22,17 @@
 	// longer than the shortest time between two reads of the directory with its jitter.
 	// With more than about 120 listed hosts, reads may be further apart than hostTTL.
 	hostTTL = 15 * clock.Second
+	// responseTimeout is how long a newly listed host may take to send its first message.
+	// Hosts are contacted at once and at least every second.
+	responseTimeout clock.Millis = 2500
 )
 
 type host struct {
 	// lastSeen is the time of the host's own last message. lastListed is the last time
 	// that another source listed the host.
 	lastSeen, lastListed clock.Millis
+	// addedAt is the time since which the host is in the set.
+	addedAt clock.Millis
 	// interval is the time until its next message, as the host stated; 0 means unknown.
 	interval clock.Millis
 	// seen is set once the host has sent a message. listed is set once another source has
@@ -51,7 +56,7 @@
 // that the interval is unchanged. The result is true if the host was not live before. A
 // message of the process's own host or of an address other than IPv4 is ignored.
 func (s *Set) MarkSeen(now clock.Millis, address netip.Addr, interval clock.Millis) bool {
-	h := s.ensureHost(address)
+	h := s.ensureHost(now, address)
 	if h == nil {
 		return false
 	}
@@ -70,7 +75,7 @@
 	var added []netip.Addr
 	for _, address := range addresses {
 		_, known := s.hosts[address]
-		if h := s.ensureHost(address); h != nil {
+		if h := s.ensureHost(now, address); h != nil {
 			h.lastListed, h.listed = now, true
 			if !known {
 				added = append(added, address)
@@ -85,13 +90,13 @@
 
 // ensureHost returns the entry of a host and creates it if there is none. It returns nil
 // for the process's own host and for an address that is not IPv4.
-func (s *Set) ensureHost(address netip.Addr) *host {
+func (s *Set) ensureHost(now clock.Millis, address netip.Addr) *host {
 	if address == s.self || !address.Is4() {
 		return nil
 	}
 	h, ok := s.hosts[address]
 	if !ok {
-		h = &host{}
+		h = &host{addedAt: now}
 		s.hosts[address] = h
 	}
 	return h
@@ -108,10 +113,11 @@
 	return s.list(func(h *host) bool { return !h.live(now) && !h.expired(now) })
 }
 
-// NeverSeen returns the hosts that other sources list and that have never sent a message,
-// in order of address.
-func (s *Set) NeverSeen(now clock.Millis) []netip.Addr {
-	return s.list(func(h *host) bool { return !h.seen && !h.expired(now) })
+// Awaited returns the hosts that other sources list and whose first message is still
+// expected, in order of address. A host that has not sent one within responseTimeout has
+// probably failed before it was listed.
+func (s *Set) Awaited(now clock.Millis) []netip.Addr {
+	return s.list(func(h *host) bool { return !h.seen && !h.expired(now) && now-h.addedAt <= responseTimeout })
 }
 
 // Expire removes hosts that have neither sent a message nor been listed recently.
--- a/internal/flow/peerset/peerset_test.go
+++ b/internal/flow/peerset/peerset_test.go
@@ -27,12 +27,12 @@
 	c.Assert(s.MarkListed(0, []netip.Addr{self, a, b}), equalsAddresses, []netip.Addr{a, b})
 	c.Assert(s.MarkListed(0, []netip.Addr{a}), qt.HasLen, 0)
 	c.Assert(s.Live(0), qt.HasLen, 0)
-	c.Assert(s.NeverSeen(0), equalsAddresses, []netip.Addr{a, b})
+	c.Assert(s.Awaited(0), equalsAddresses, []netip.Addr{a, b})
 	c.Assert(s.MarkSeen(10, a, 0), qt.IsTrue)
 	c.Assert(s.MarkSeen(20, a, 0), qt.IsFalse)
 	c.Assert(s.Live(20), equalsAddresses, []netip.Addr{a})
 	c.Assert(s.Silent(20), equalsAddresses, []netip.Addr{b})
-	c.Assert(s.NeverSeen(20), equalsAddresses, []netip.Addr{b})
+	c.Assert(s.Awaited(20), equalsAddresses, []netip.Addr{b})
 	c.Assert(s.Live(10*clock.Second), qt.HasLen, 0)
 	s.Expire(16 * clock.Second)
 	c.Assert(s.Silent(16*clock.Second), qt.HasLen, 0)
@@ -48,6 +48,18 @@
 	c.Assert(s.Silent(0), qt.HasLen, 0)
 }
 
+// Guards against waiting for a host that failed before it was listed. Its entry stays in the
+// directory until its lease ends.
+func TestUnresponsiveHostIsNotAwaited(t *testing.T) {
+	c := qt.New(t)
+	s := peerset.New(self)
+	s.MarkListed(0, []netip.Addr{a})
+	c.Assert(s.Awaited(2*clock.Second), qt.HasLen, 1)
+	s.MarkListed(2*clock.Second, []netip.Addr{a})
+	c.Assert(s.Awaited(3*clock.Second), qt.HasLen, 0)
+	c.Assert(s.Silent(3*clock.Second), qt.HasLen, 1)
+}
+
 // Guards against expiring a host between two of its messages. In a large system each
 // host sends messages rarely.
 func TestHostWithLongIntervalStaysLive(t *testing.T) {
--- a/internal/flow/relay/message.go
+++ b/internal/flow/relay/message.go
@@ -99,6 +99,9 @@
 	Accepting bool
 	// Departed is set when the upstream has ended for good and holds no flow.
 	Departed bool
+	// Stopping is set when the sidecar stops and its upstream may go on. Another process
+	// takes over the upstream's flows soon.
+	Stopping bool
 	// Slots is the number of requests that the upstream works on concurrently.
 	Slots int
 	// Warmup is how much longer the upstream is slow after its start.
@@ -113,6 +116,9 @@
 	// clear while the sidecar learns the flows of its upstream after a restart, and if
 	// there are too many addresses.
 	AllListed bool
+	// Legacy is set after Decode if the sender is of an older version. It neither lists
+	// addresses nor announces that it stops.
+	Legacy bool
 }
 
 // Message is one datagram. Kind determines which other fields are set.
--- a/internal/flow/relay/report.go
+++ b/internal/flow/relay/report.go
@@ -20,6 +20,7 @@
 	flagDeparted   = 2
 	flagAddresses  = 4
 	flagAllListed  = 8
+	flagStopping   = 16
 	maxReportSlots = 1<<16 - 1
 	// MaxReportAddresses is the maximum number of addresses in a report.
 	MaxReportAddresses = 32
@@ -36,6 +37,9 @@
 	if r.Departed {
 		flags |= flagDeparted
 	}
+	if r.Stopping {
+		flags |= flagStopping
+	}
 	var ids [identity.OwnerIDSize + identity.ServiceIDSize]byte
 	identity.PutUint48(ids[:], uint64(r.Incarnation))
 	identity.PutUint40(ids[identity.OwnerIDSize:], uint64(r.Service))
@@ -65,6 +69,8 @@
 	r := Report{
 		Accepting:   data[1]&flagAccepting != 0,
 		Departed:    data[1]&flagDeparted != 0,
+		Stopping:    data[1]&flagStopping != 0,
+		Legacy:      data[1]&flagAddresses == 0,
 		Incarnation: identity.OwnerID(identity.GetUint48(b)),
 		Service:     identity.ServiceID(identity.GetUint40(b[identity.OwnerIDSize:])),
 	}
@@ -74,7 +80,7 @@
 	r.Interval = clock.Millis(binary.BigEndian.Uint16(b[6:]))
 	r.Load = Load{Active: binary.BigEndian.Uint16(b[8:]), Flows: binary.BigEndian.Uint16(b[10:])}
 	tail := b[12:]
-	if data[1]&flagAddresses != 0 {
+	if !r.Legacy {
 		if len(tail) == 0 || len(tail)-1 < int(tail[0])*addressSize || tail[0] > MaxReportAddresses {
 			return Report{}, errInvalidMessage
 		}
