flow: Find failed sidecars by asking them

Cause: reports become rare in a large system (3 s at 136 sidecars, up to a minute), so a failed sidecar was found only after four missing ones. A search by a hint asked only the owner that the hint named; if that one had failed, each further search did the same for up to 60 s. A flow whose owner had failed was forwarded to it until the client gave up.

Change: a searching sidecar tells the balancer after 150 ms which siblings have not responded, and queries all sidecars if the owner of a hint is silent. The balancer asks silent sidecars for a report every 200 ms, and one that stays silent for 0.7 s counts as lost, unless it has announced that it stops or the balancer hears no sidecar at all. Searches end when the sidecars that they wait for are lost. A flow of a lost owner is searched anew if its requests may be repeated; others wait, because their response may still come, and are reset after 5 s.

Sidecars now ignore searches of another service, and only reports count.

The emulator stops sidecars gracefully under load; a mutant that does not announce this is caught.

--- a/internal/flow/balancer/balancer.go
+++ b/internal/flow/balancer/balancer.go
@@ -173,7 +173,9 @@
 	searchesInWindow  int
 	unresolved        []*unresolvedFlow
 	lastLossCheck     clock.Millis
-	counts            [OutcomeCount]uint64
+	// lastSidecarMessage is when the last message of any sidecar arrived.
+	lastSidecarMessage clock.Millis
+	counts             [OutcomeCount]uint64
 }
 
 // flow is the entry of a flow.
@@ -183,10 +185,11 @@
 	owner    netip.AddrPort
 	lastSeen clock.Millis
 	accepted bool
-	// service and bulk come from the flow's route.
-	service identity.ServiceID
-	bulk    bool
-	pending *pendingFlow
+	// service, bulk and repeatable come from the flow's route.
+	service    identity.ServiceID
+	bulk       bool
+	repeatable bool
+	pending    *pendingFlow
 	// searchAttempts counts the attempts to find the owner. Each attempt requests one
 	// sidecar of each service that it queries to search.
 	searchAttempts int
@@ -256,7 +259,7 @@
 		b.handleRequest(now, f, s, packet)
 		return
 	}
-	if f != nil && f.owner.IsValid() {
+	if f != nil && f.owner.IsValid() && !b.abandonsOwner(f) {
 		f.lastSeen = now
 		b.trackBulk(f, s)
 		b.forward(f.owner, relay.KindForward, f.service, packet)
@@ -269,6 +272,7 @@
 // HandleSidecar handles a message that a sidecar sent. Messages of kinds that
 // balancers do not expect from sidecars are ignored.
 func (b *Balancer) HandleSidecar(now clock.Millis, from netip.AddrPort, m relay.Message) {
+	b.lastSidecarMessage = now
 	switch m.Kind {
 	case relay.KindReport:
 		b.applyReport(now, from, m.Report)
@@ -291,6 +295,8 @@
 		b.handleAbsent(now, from, m)
 	case relay.KindNotHeld:
 		b.handleNotHeld(now, from, m.Packet)
+	case relay.KindUnanswered:
+		b.handleUnanswered(now, m)
 	}
 }
 
@@ -324,7 +330,7 @@
 		}
 		f = &flow{}
 		if r, ok := b.table.Lookup(key.Service()); ok {
-			f.service, f.bulk = r.Service(key), r.Bulk
+			f.service, f.bulk, f.repeatable = r.Service(key), r.Bulk, r.Repeatable
 		}
 		b.flows[key] = f
 	}
--- a/internal/flow/balancer/balancer_test.go
+++ b/internal/flow/balancer/balancer_test.go
@@ -57,8 +57,9 @@
 	// forwards holds the recipient of each datagram to a sidecar, or searchRequest.
 	forwards []string
 	resets   int
-	// messages holds all messages to sidecars.
+	// messages holds all messages to sidecars but pings, whose recipients are in pings.
 	messages []relay.Message
+	pings    []netip.AddrPort
 }
 
 func newHarness(t *testing.T) *harness { return newHarnessWithLink(t, 0) }
@@ -74,6 +75,10 @@
 		ToSidecar: func(to netip.AddrPort, data []byte) {
 			m, err := relay.Decode(data)
 			h.c.Assert(err, qt.IsNil)
+			if m.Kind == relay.KindPing {
+				h.pings = append(h.pings, to)
+				return
+			}
 			m.Packet = append([]byte(nil), m.Packet...)
 			h.messages = append(h.messages, m)
 			recipient := to.String()
--- a/internal/flow/balancer/pendingflow.go
+++ b/internal/flow/balancer/pendingflow.go
@@ -102,7 +102,7 @@
 	if f == nil || f.pending == nil || retransmissions == 0 {
 		f = b.ensureFlow(now, s.Key)
 		f.owner, f.accepted = netip.AddrPort{}, false
-		f.service, f.bulk = r.Service(s.Key), r.Bulk
+		f.service, f.bulk, f.repeatable = r.Service(s.Key), r.Bulk, r.Repeatable
 		f.pending = &pendingFlow{
 			key: s.Key, service: f.service, packet: bytes.Clone(packet), firstSent: now - requestAge(retransmissions),
 			latencyGoal: r.LatencyGoal, openTimeout: openTimeout(r.Timeout),
--- a/internal/flow/balancer/search.go
+++ b/internal/flow/balancer/search.go
@@ -28,6 +28,18 @@
 // endSearch forgets the attempts to find the owner.
 func (f *flow) endSearch() { f.searchAttempts, f.absentServices, f.unresolved = 0, nil, nil }
 
+// abandonsOwner reports whether the packets of a flow must not be sent to its owner any
+// more, because the owner is lost and the client may repeat its request elsewhere. Other
+// clients wait, because the response may still come.
+func (b *Balancer) abandonsOwner(f *flow) bool {
+	sc := b.sidecars[f.owner]
+	if sc == nil || !sc.lost || !f.repeatable {
+		return false
+	}
+	f.owner = netip.AddrPort{}
+	return true
+}
+
 // search asks a sidecar of each service that may hold a packet's flow to find the owner
 // of the flow. The owner gets the packet and claims the flow.
 func (b *Balancer) search(now clock.Millis, s segment.Segment, packet []byte) {
@@ -99,7 +111,7 @@
 }
 
 // handleAbsent handles a search that found no owner. If the searches in all services
-// that may hold the flow covered all reachable sidecars, no upstream can serve it. The flow is then
+// that may hold the flow covered all possible owners, no upstream can serve it. The flow is then
 // reset, so that a client with a request in progress need not wait for its deadline. A
 // flow is left alone if a sidecar that was not queried or has not reported yet may be the
 // owner, or if the client does not wait for a response.
@@ -108,7 +120,7 @@
 	if f == nil || sc == nil || f.owner.IsValid() || !f.awaitsResponse {
 		return
 	}
-	if int(m.Queried) < b.reachable(sc.report.Service) || !b.config.AllReported() {
+	if int(m.Queried) < b.possibleOwners(now, f, sc.report.Service) || !b.config.AllReported() {
 		b.record(Event{Outcome: OutcomeUnresolved, Key: m.Key, Sidecar: from, Attempt: int(m.Queried)})
 		return
 	}
@@ -129,7 +141,7 @@
 // serve the flow.
 func (b *Balancer) mayBeHeld(now clock.Millis, f *flow, r route.Route) bool {
 	possible := func(service identity.ServiceID) bool {
-		return b.reachable(service) > 0 && !slices.Contains(f.absentServices, service)
+		return b.possibleOwners(now, f, service) > 0 && !slices.Contains(f.absentServices, service)
 	}
 	return slices.ContainsFunc(b.holders.known(now, r), possible) || slices.ContainsFunc(b.holders.unlistedServices, possible)
 }
--- a/internal/flow/balancer/sidecar.go
+++ b/internal/flow/balancer/sidecar.go
@@ -18,10 +18,16 @@
 	// sidecarTTL is how long a silent sidecar is kept as a member of its service, because
 	// its upstream may still hold flows.
 	sidecarTTL = 60 * clock.Second
-	// lostTimeout is how long a sidecar may be silent before it counts as lost, if it has
-	// not announced that it stops. lossCheckInterval is the time between two checks.
-	lostTimeout       clock.Millis = 1000
+	// suspectTimeout is the minimum time without a message after which a sidecar is asked
+	// for a report, every lossCheckInterval. It counts as lost if it then stays silent for
+	// lostTimeout and has not announced that it stops.
+	suspectTimeout    clock.Millis = 500
+	lostTimeout       clock.Millis = 700
 	lossCheckInterval clock.Millis = 200
+	// returnTimeout is how long a lost sidecar is expected back for flows whose requests
+	// must not be repeated: their responses are worth waiting for. Killed processes and
+	// hosts without power are usually back earlier.
+	returnTimeout = 5 * clock.Second
 	// openFlowCost is the load that each open flow adds, as a fraction of a slot. Requests
 	// in progress count in addition, each as a whole slot.
 	openFlowCost = 0.03
@@ -61,6 +67,9 @@
 	// lost is set while the sidecar has been silent for too long. Its upstream cannot be
 	// reached, so no search waits for it.
 	lost bool
+	// pingedAt is when the sidecar was first asked for a report because it was silent or
+	// had not responded to a search; 0 if it has sent a message since.
+	pingedAt clock.Millis
 	// unlisted is set if the sidecar may hold flows to addresses that it does not list.
 	unlisted bool
 	// busyUntil is the time until which no new flow at all is placed on the sidecar.
@@ -89,10 +98,10 @@
 	return maxMissedReports * interval
 }
 
-// silentTooLong reports whether the sidecar has been silent for so long that it has
-// probably failed. A sidecar that stops for a restart is expected back.
-func (sc *sidecar) silentTooLong(now clock.Millis) bool {
-	return !sc.report.Stopping && !sc.report.Legacy && now-sc.lastSeen > max(lostTimeout, sc.liveTimeout())
+// suspect reports whether the sidecar is silent for longer than usual, so that it may have
+// failed. A sidecar that stops for a restart is expected back.
+func (sc *sidecar) suspect(now clock.Millis) bool {
+	return !sc.report.Stopping && !sc.report.Legacy && now-sc.lastSeen > max(suspectTimeout, sc.liveTimeout()/2)
 }
 
 // full reports whether a new flow would wait too long for a slot. pastGoal is set if the
@@ -220,15 +229,25 @@
 
 // setLost records whether a sidecar has been silent for too long.
 func (b *Balancer) setLost(sc *sidecar, lost bool) {
+	if !lost {
+		sc.pingedAt = 0
+	}
 	if sc.lost != lost {
 		sc.lost = lost
 		b.changedServices[sc.report.Service] = true
 	}
 }
 
-// reachable returns the number of sidecars of a service that are not lost.
-func (b *Balancer) reachable(service identity.ServiceID) int {
-	return len(appendHosts(nil, b.services[service]))
+// possibleOwners returns the number of sidecars of a service that may own a flow and serve
+// it. A lost sidecar may, for some time, if the requests of the flow must not be repeated.
+func (b *Balancer) possibleOwners(now clock.Millis, f *flow, service identity.ServiceID) int {
+	count := 0
+	for _, sc := range b.services[service] {
+		if !sc.lost || (!f.repeatable && now-sc.lastSeen < returnTimeout) {
+			count++
+		}
+	}
+	return count
 }
 
 // setUnlisted records whether a sidecar may hold flows to addresses that it does not list.
@@ -266,15 +285,38 @@
 	}
 }
 
-// findLostSidecars marks the sidecars that have been silent for too long.
+// findLostSidecars asks silent sidecars for a report, and marks those as lost that do not
+// send one. While no sidecar at all is heard, this host is probably the one that is cut
+// off, and none is marked.
 func (b *Balancer) findLostSidecars(now clock.Millis) {
+	isolated := now-b.lastSidecarMessage > suspectTimeout
 	for _, sc := range b.sidecars {
-		if sc.silentTooLong(now) {
+		switch {
+		case sc.lost || (sc.pingedAt == 0 && !sc.suspect(now)):
+		case sc.pingedAt == 0 || isolated:
+			sc.pingedAt = now
+			b.ping(sc)
+		case now-sc.pingedAt >= lostTimeout && !sc.report.Stopping:
 			b.setLost(sc, true)
+		default:
+			b.ping(sc)
+		}
+	}
+}
+
+// handleUnanswered asks sidecars that have not responded to a search for a report. In a
+// large system, reports come too rarely to tell soon which sidecars have failed.
+func (b *Balancer) handleUnanswered(now clock.Millis, m relay.Message) {
+	for _, address := range m.Sidecars {
+		if sc := b.sidecars[address]; sc != nil && sc.pingedAt == 0 && !sc.lost && !sc.report.Stopping && !sc.report.Legacy {
+			sc.pingedAt = now
+			b.ping(sc)
 		}
 	}
 }
 
+func (b *Balancer) ping(sc *sidecar) { b.sendTo(sc.address, relay.Message{Kind: relay.KindPing}) }
+
 // UsableSidecars returns the number of sidecars that may get new flows.
 func (b *Balancer) UsableSidecars(now clock.Millis) int {
 	count := 0
--- a/internal/flow/node/balancer.go
+++ b/internal/flow/node/balancer.go
@@ -181,7 +181,9 @@
 		n.handleDigest(now, from.Addr(), m.Digest)
 		return
 	}
-	appeared := n.sidecars.MarkSeen(now, from.Addr(), m.Report.Interval)
+	// Only a report tells what the sidecar's upstream may hold. Until the first one, its
+	// host stays one of those that allReported waits for.
+	appeared := m.Kind == relay.KindReport && n.sidecars.MarkSeen(now, from.Addr(), m.Report.Interval)
 	if appeared {
 		n.logger.Info("sidecar-appeared", zap.Stringer("sidecar", from))
 	}
--- a/internal/flow/node/sidecar.go
+++ b/internal/flow/node/sidecar.go
@@ -167,6 +167,8 @@
 	switch m.Kind {
 	default:
 		n.machine.HandleMessage(now, from, m)
+	case relay.KindPing:
+		n.reportTo([]netip.Addr{from.Addr()})
 	case relay.KindDigest:
 		appeared := n.balancers.MarkSeen(now, from.Addr(), m.Digest.Interval)
 		n.requestedInterval = m.Digest.ReportInterval
@@ -287,7 +289,7 @@
 			siblings = append(siblings, netip.AddrPortFrom(host, n.settings.RelayAddress.Port()))
 		}
 	}
-	n.machine.SetSiblings(siblings)
+	n.machine.SetSiblings(now, siblings)
 }
 
 // sendReports does the periodic work of the sidecar, and reports the state of the
--- a/internal/flow/relay/message.go
+++ b/internal/flow/relay/message.go
@@ -43,6 +43,11 @@
 	KindReport
 	// KindDigest carries a balancer's Digest to other balancers and to sidecars.
 	KindDigest
+	// KindPing asks a sidecar for a report.
+	KindPing
+	// KindUnanswered notifies the balancer that some sidecars have not responded to a
+	// search.
+	KindUnanswered
 )
 
 // MaxMessage is the maximum length of a datagram in bytes.
@@ -143,6 +148,8 @@
 	Queried uint16
 	// Keys are the flows of a hint, at most MaxHintKeys.
 	Keys []segment.Key
+	// Sidecars are those that have not responded to a search, at most MaxUnanswered.
+	Sidecars []netip.AddrPort
 	// Packet is the client's packet. After Decode it is a part of the datagram.
 	Packet []byte
 	Report Report
@@ -165,6 +172,8 @@
 	responseSize = 2 + 4 + 2 + segment.KeySize
 	// MaxHintKeys is the maximum number of flows in one hint.
 	MaxHintKeys = 80
+	// MaxUnanswered is the maximum number of sidecars in a KindUnanswered message.
+	MaxUnanswered = 16
 )
 
 var errInvalidMessage = errors.New("relay: datagram is not a message of this protocol")
@@ -186,6 +195,14 @@
 			b = key.Append(b)
 		}
 		return b, nil
+	case KindPing:
+		return append(b, byte(m.Kind)), nil
+	case KindUnanswered:
+		b = m.Key.Append(append(b, byte(m.Kind)))
+		for _, sidecar := range m.Sidecars {
+			b = appendAddress(b, sidecar)
+		}
+		return b, nil
 	case KindAccepted, KindRefused, KindClaimed, KindAbsent:
 		b = append(b, byte(m.Kind), byte(m.Reason))
 		b = binary.BigEndian.AppendUint16(b, m.Load.Active)
@@ -224,6 +241,12 @@
 	}
 }
 
+func appendAddress(b []byte, a netip.AddrPort) []byte {
+	var encoded [addressSize]byte
+	putAddress(encoded[:], a)
+	return append(b, encoded[:]...)
+}
+
 // getAddress reads an address that putAddress wrote. The result is not valid if the port
 // is 0.
 func getAddress(b []byte) netip.AddrPort {
@@ -259,6 +282,18 @@
 			m.Keys = append(m.Keys, key)
 		}
 		return m, nil
+	case KindPing:
+		return m, nil
+	case KindUnanswered:
+		list := data[min(len(data), 1+segment.KeySize):]
+		if len(data) < 1+segment.KeySize || len(list)%addressSize != 0 || len(list) > MaxUnanswered*addressSize {
+			return Message{}, errInvalidMessage
+		}
+		m.Key, _ = segment.DecodeKey(data[1:])
+		for ; len(list) > 0; list = list[addressSize:] {
+			m.Sidecars = append(m.Sidecars, getAddress(list))
+		}
+		return m, nil
 	case KindAccepted, KindRefused, KindClaimed, KindAbsent:
 		if len(data) != responseSize {
 			return Message{}, errInvalidMessage
--- a/internal/flow/relay/message_test.go
+++ b/internal/flow/relay/message_test.go
@@ -25,6 +25,8 @@
 		{Kind: relay.KindSearch, Service: service, Packet: []byte{1}},
 		{Kind: relay.KindHint, Keys: []segment.Key{key, key}},
 		{Kind: relay.KindAbsent, Key: key, Queried: 48},
+		{Kind: relay.KindPing},
+		{Kind: relay.KindUnanswered, Key: key, Sidecars: []netip.AddrPort{netip.MustParseAddrPort("10.2.0.1:7000")}},
 		{Kind: relay.KindNotHeld, Packet: []byte{4}},
 		{Kind: relay.KindRefused, Reason: relay.ReasonDraining, Key: key, Load: relay.Load{Active: 7, Flows: 300}},
 		{Kind: relay.KindClaimed, Key: key},
@@ -49,6 +51,7 @@
 		c.Assert(reencoded, qt.DeepEquals, data)
 		c.Assert(decoded.Key, qt.Equals, m.Key)
 		c.Assert(decoded.Load, qt.Equals, m.Load)
+		c.Assert(decoded.Sidecars, qt.CmpEquals(cmpopts.EquateComparable(netip.AddrPort{})), m.Sidecars)
 		c.Assert(decoded.Queried, qt.Equals, m.Queried)
 		c.Assert(decoded.LatencyGoal, qt.Equals, m.LatencyGoal)
 		c.Assert(decoded.PastGoal, qt.Equals, m.PastGoal)
--- a/internal/flow/relay/report.go
+++ b/internal/flow/relay/report.go
@@ -53,9 +53,7 @@
 	addresses := r.Addresses[:min(len(r.Addresses), MaxReportAddresses)]
 	b = append(b, byte(len(addresses)))
 	for _, address := range addresses {
-		var encoded [addressSize]byte
-		putAddress(encoded[:], address)
-		b = append(b, encoded[:]...)
+		b = appendAddress(b, address)
 	}
 	rest := maxReportTail - 1 - len(addresses)*addressSize
 	return append(b, r.DataCentre[:min(len(r.DataCentre), rest)]...)
--- a/internal/flow/route/table.go
+++ b/internal/flow/route/table.go
@@ -28,6 +28,8 @@
 	Priority int
 	// Bulk is set if requests are long and responses short, as in uploads.
 	Bulk bool
+	// Repeatable is set if a request may be sent again after it may have been executed.
+	Repeatable bool
 	// LatencyGoal is the time in which a request should get its response. Timeout is the
 	// time after which the client of a request stops waiting. Either is 0 if unknown.
 	LatencyGoal, Timeout clock.Millis
--- a/internal/flow/sidecar/search.go
+++ b/internal/flow/sidecar/search.go
@@ -23,6 +23,10 @@
 	hintTTL = 60 * clock.Second
 	// searchTimeout is how long a search waits for the responses of sidecars.
 	searchTimeout = clock.Second
+	// responseTimeout is how long a sidecar usually takes at most to respond to a search.
+	// After that, the balancer is notified, or all sidecars are queried instead of the one
+	// that a hint names.
+	responseTimeout clock.Millis = 150
 	// maxHints bounds the memory for hints of about 100 bytes each.
 	maxHints = 100_000
 )
@@ -54,6 +58,8 @@
 	queried int
 	// hinted is set if only the sidecar of an owner hint was queried.
 	hinted bool
+	// notified is set when the balancer knows which sidecars have not responded.
+	notified bool
 }
 
 func newSearch() search {
@@ -61,11 +67,29 @@
 }
 
 // SetSiblings sets the sidecars of the service. The sidecar's own address and
-// duplicates are ignored.
-func (s *Sidecar) SetSiblings(siblings []netip.AddrPort) {
+// duplicates are ignored. Searches no longer wait for sidecars that are not in the list.
+func (s *Sidecar) SetSiblings(now clock.Millis, siblings []netip.AddrPort) {
 	siblings = slices.DeleteFunc(slices.Clone(siblings), func(a netip.AddrPort) bool { return a == s.config.Self })
 	slices.SortFunc(siblings, netip.AddrPort.Compare)
-	s.search.siblings = slices.Compact(siblings)
+	siblings = slices.Compact(siblings)
+	if slices.Equal(siblings, s.search.siblings) {
+		return
+	}
+	s.search.siblings = siblings
+	for _, key := range slices.SortedFunc(maps.Keys(s.search.pending), segment.Key.Compare) {
+		s.stopAwaitingRemoved(now, key, s.search.pending[key])
+	}
+}
+
+// stopAwaitingRemoved ends the wait of a search for sidecars that have ceased to be
+// siblings.
+func (s *Sidecar) stopAwaitingRemoved(now clock.Millis, key segment.Key, p *pendingSearch) {
+	for _, awaited := range slices.Clone(p.awaited) {
+		if !p.hinted && awaited != s.config.Self && !slices.Contains(s.search.siblings, awaited) {
+			p.queried--
+			s.handleAbsent(now, awaited, key)
+		}
+	}
 }
 
 // Siblings returns the number of other sidecars of the service that are known.
@@ -132,13 +156,39 @@
 	}
 	delete(s.search.pending, key)
 	if p.hinted {
-		delete(s.search.hints, key)
-		s.searchAll(now, key, relay.Message{Service: s.service, Requester: p.requester, Packet: p.packet})
+		s.searchWithoutHint(now, key, p)
 		return
 	}
 	s.send(p.requester, relay.Message{Kind: relay.KindAbsent, Key: key, Queried: uint16(p.queried), Load: s.Load()})
 }
 
+// searchWithoutHint queries all sidecars after the one that a hint named has not claimed
+// the flow.
+func (s *Sidecar) searchWithoutHint(now clock.Millis, key segment.Key, p *pendingSearch) {
+	delete(s.search.hints, key)
+	s.searchAll(now, key, relay.Message{Service: s.service, Requester: p.requester, Packet: p.packet})
+}
+
+// checkResponses acts on searches to which sidecars have not responded for
+// responseTimeout.
+func (s *Sidecar) checkResponses(now clock.Millis) {
+	for _, key := range slices.SortedFunc(maps.Keys(s.search.pending), segment.Key.Compare) {
+		p := s.search.pending[key]
+		if p.notified || now-p.startedAt < responseTimeout {
+			continue
+		}
+		if p.hinted {
+			s.searchWithoutHint(now, key, p)
+			continue
+		}
+		p.notified = true
+		silent := slices.DeleteFunc(slices.Clone(p.awaited), func(a netip.AddrPort) bool { return a == s.config.Self })
+		if len(silent) > 0 {
+			s.send(p.requester, relay.Message{Kind: relay.KindUnanswered, Key: key, Sidecars: silent[:min(len(silent), relay.MaxUnanswered)]})
+		}
+	}
+}
+
 // handleHint records owner hints for flows of a sibling, and ends the searches for these
 // flows.
 func (s *Sidecar) handleHint(now clock.Millis, from netip.AddrPort, keys []segment.Key) {
--- /dev/null
+++ b/internal/flow/sidecar/search_test.go
@@ -0,0 +1,96 @@
+package sidecar_test
+
+import (
+	"net/netip"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"github.com/orioledyke/orioledyke/internal/flow/relay"
+	"github.com/orioledyke/orioledyke/internal/flow/segment"
+	"github.com/orioledyke/orioledyke/platform"
+)
+
+// Guards against a search that asks the lost sidecar of a hint again and again until the
+// hint expires.
+func TestSilentOwnerOfHint(t *testing.T) {
+	h := newHarness(t)
+	h.sidecar.Accept()
+	h.sidecar.SetSiblings(h.now, []netip.AddrPort{sibling, otherSibling})
+	h.sidecar.HandleMessage(h.now, otherSibling, relay.Message{Kind: relay.KindHint, Keys: []segment.Key{key}})
+	h.search(packet(true, acks, 2, 501, 100))
+	h.takeLastKind()
+	h.now += 100
+	h.sidecar.Tick(h.now)
+	h.c.Assert(h.messages, qt.HasLen, 0)
+	h.now += 100
+	h.sidecar.Tick(h.now)
+	h.c.Assert(h.receivers, qt.CmpEquals(cmpopts.EquateComparable(netip.AddrPort{})), []netip.AddrPort{sibling, otherSibling})
+}
+
+// Guards against balancers that do not learn which sidecar a search waits for.
+func TestUnansweredSearchIsReported(t *testing.T) {
+	h := newHarness(t)
+	h.sidecar.Accept()
+	h.sidecar.SetSiblings(h.now, []netip.AddrPort{sibling, otherSibling})
+	h.search(packet(true, acks, 2, 501, 100))
+	h.reportAbsent(sibling)
+	h.takeLastKind()
+	h.now += 200
+	h.sidecar.Tick(h.now)
+	h.c.Assert(h.messages, qt.HasLen, 1)
+	h.c.Assert(h.receivers[0], qt.Equals, balancer)
+	h.c.Assert(h.messages[0].Sidecars, qt.CmpEquals(cmpopts.EquateComparable(netip.AddrPort{})), []netip.AddrPort{otherSibling})
+	h.c.Assert(h.takeLastKind(), qt.Equals, relay.KindUnanswered)
+	h.now += 200
+	h.sidecar.Tick(h.now)
+	h.c.Assert(h.messages, qt.HasLen, 0)
+}
+
+// Guards against a search that still waits for a sidecar after the balancers have found it
+// lost.
+func TestRemovedSiblingIsNotAwaited(t *testing.T) {
+	h := newHarness(t)
+	h.sidecar.Accept()
+	h.sidecar.SetSiblings(h.now, []netip.AddrPort{sibling, otherSibling})
+	h.search(packet(true, acks, 2, 501, 100))
+	h.reportAbsent(sibling)
+	h.takeLastKind()
+	h.sidecar.SetSiblings(h.now, []netip.AddrPort{sibling})
+	h.c.Assert(h.messages, qt.HasLen, 1)
+	h.c.Assert(h.messages[0].Queried, qt.Equals, uint16(2))
+	h.c.Assert(h.takeLastKind(), qt.Equals, relay.KindAbsent)
+}
+
+// Guards against a sidecar at a reused address that answers the search of another service.
+// Its response would count as that of a sidecar which was not asked.
+func TestSearchOfOtherServiceIsIgnored(t *testing.T) {
+	h := newHarness(t)
+	h.sidecar.Accept()
+	m := relay.Message{
+		Kind: relay.KindForward, Service: platform.ServiceID("archive"), Requester: balancer, Packet: packet(true, acks, 2, 501, 100),
+	}
+	h.sidecar.HandleMessage(h.now, sibling, m)
+	h.c.Assert(h.messages, qt.HasLen, 0)
+	m.Service = portal
+	h.sidecar.HandleMessage(h.now, sibling, m)
+	h.c.Assert(h.takeLastKind(), qt.Equals, relay.KindAbsent)
+}
+
+// Guards against a configuration that removes this service from a route before balancers
+// know that the upstream holds flows to the route's address.
+func TestAddressesOfFlows(t *testing.T) {
+	h := newHarness(t)
+	addresses, all := h.sidecar.Addresses()
+	h.c.Assert(addresses, qt.HasLen, 0)
+	h.c.Assert(all, qt.IsTrue)
+	h.open()
+	h.c.Assert(h.sidecar.TakeAddressesChanged(), qt.IsTrue)
+	h.c.Assert(h.sidecar.TakeAddressesChanged(), qt.IsFalse)
+	addresses, _ = h.sidecar.Addresses()
+	h.c.Assert(addresses, qt.CmpEquals(cmpopts.EquateComparable(netip.AddrPort{})), []netip.AddrPort{serviceAddress})
+	h.sidecar.DropFlows()
+	addresses, all = h.sidecar.Addresses()
+	h.c.Assert(addresses, qt.HasLen, 0)
+	h.c.Assert(all, qt.IsFalse)
+}
--- a/internal/flow/sidecar/sidecar.go
+++ b/internal/flow/sidecar/sidecar.go
@@ -278,6 +278,12 @@
 		f = nil
 	}
 	if f == nil || f.state == stateOffered || (f.state == stateAccepted && !s.acknowledgesAccept(f, p)) {
+		if m.Requester.IsValid() && m.Service != s.service {
+			// The search is for another service, so the absence of the flow here must not
+			// count as a response. The searching sidecar has an outdated list of siblings.
+			s.counts[OutcomeInvalid]++
+			return
+		}
 		s.handleUnknown(now, from, m, f, p)
 		return
 	}
@@ -528,10 +534,11 @@
 	}
 }
 
-// Tick publishes long flows, and removes expired flows, requests, searches and hints. The
+// Tick publishes long flows, checks searches, and removes expired flows, requests, searches and hints. The
 // caller must call it several times a second.
 func (s *Sidecar) Tick(now clock.Millis) {
 	s.publish(now)
+	s.checkResponses(now)
 	s.capacity.expire(now)
 	if now-s.lastSweep < clock.Second {
 		return
--- a/internal/standin/fleet/balancer.go
+++ b/internal/standin/fleet/balancer.go
@@ -34,9 +34,10 @@
 	draining     bool
 	startedAt    clock.Millis
 	failedProbes int
-	// reportsLostUntil is the end of a period in which no report reaches this balancer.
+	// reportsLostUntil is the end of a period in which no periodic report reaches this
+	// balancer.
 	reportsLostUntil clock.Millis
-	// heardFrom holds the sidecars from which this incarnation has received a message.
+	// heardFrom holds the sidecars from which this incarnation has received a report.
 	heardFrom map[netip.AddrPort]bool
 }
 
@@ -84,7 +85,7 @@
 }
 
 // allReported reports whether settleTime has passed since the start and this incarnation
-// has received a message of any kind from every sidecar. It stands for what a real balancer
+// has received a report from every sidecar. It stands for what a real balancer
 // learns from the directory and from its peers.
 func (b *balancerHost) allReported() bool {
 	if b.cluster.config.Mutant == AbsenceAssumed {
@@ -148,7 +149,13 @@
 			if b.cluster.config.Mutant == ServiceUnchecked {
 				m.Service = platform.ServiceID(serviceName(u.service))
 			}
-			u.receive(func() { u.logic.HandleMessage(b.cluster.now, b.relayAddress, m) })
+			u.receive(func() {
+				if m.Kind == relay.KindPing {
+					u.sendToBalancer(b, u.currentReport())
+					return
+				}
+				u.logic.HandleMessage(b.cluster.now, b.relayAddress, m)
+			})
 		}
 	}
 }
--- a/internal/standin/fleet/cluster.go
+++ b/internal/standin/fleet/cluster.go
@@ -78,6 +78,8 @@
 	// AddressesUnlisted makes the reports of sidecars list no addresses, as if their
 	// upstreams held no flows.
 	AddressesUnlisted
+	// StopUnannounced makes sidecars that are stopped gracefully not say so.
+	StopUnannounced
 	mutantEnd
 )
 
--- a/internal/standin/fleet/faults.go
+++ b/internal/standin/fleet/faults.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/internal/flow/registration"
+	"github.com/orioledyke/orioledyke/internal/flow/relay"
 )
 
 // KillSidecar kills a sidecar without notice and restarts it after the downtime. Its
@@ -12,7 +13,7 @@
 	if !u.sidecarUp || u.removed {
 		return
 	}
-	u.sidecarUp = false
+	u.sidecarUp, u.sidecarEndedAt, u.sidecarKilled = false, c.now, !u.sidecarStopping
 	c.after(down, func() {
 		if !u.removed {
 			u.startSidecar()
@@ -20,6 +21,24 @@
 	})
 }
 
+// StopSidecar stops a sidecar gracefully and restarts it after the downtime. Its upstream
+// keeps running.
+func (c *Cluster) StopSidecar(index int, down clock.Millis) {
+	u := c.upstreams[index]
+	if !u.sidecarUp || u.removed || u.sidecarStopping {
+		return
+	}
+	u.sidecarStopping = true
+	u.logic.Refuse(relay.ReasonStopping)
+	u.report(c.balancers...)
+	incarnation := u.sidecarIncarnation
+	c.after(clock.Second, func() {
+		if u.sidecarIncarnation == incarnation {
+			c.KillSidecar(index, down)
+		}
+	})
+}
+
 // RestartUpstream kills an upstream without notice and restarts it after the downtime.
 func (c *Cluster) RestartUpstream(index int, down clock.Millis) {
 	u := c.upstreams[index]
--- a/internal/standin/fleet/fleet_test.go
+++ b/internal/standin/fleet/fleet_test.go
@@ -146,13 +146,17 @@
 }
 
 // runWithFaults runs a cluster under load and injects a random fault each second for 20 s.
-// With moving targets, it also changes the targets of a route each second.
+// With moving targets, it also changes the targets of a route each second, and stops a
+// sidecar now and then.
 func runWithFaults(config fleet.Config, movingTargets bool) *fleet.Cluster {
 	cluster := fleet.New(config)
 	cluster.Advance(2 * clock.Second)
 	for range 20 {
 		if movingTargets {
 			moveTargets(cluster, config.Services)
+			if cluster.RandomInt(4) == 0 {
+				cluster.StopSidecar(cluster.RandomInt(cluster.Upstreams()), clock.Millis(600+cluster.RandomInt(2000)))
+			}
 		}
 		injectFault(cluster, config.Balancers, config.Services)
 		openFlows(cluster, config.Services, 1)
--- a/internal/standin/fleet/targets.go
+++ b/internal/standin/fleet/targets.go
@@ -37,7 +37,7 @@
 		if len(services) == 0 {
 			continue
 		}
-		current := route.Route{Address: serviceAddress(r), LatencyGoal: latencyGoal, Timeout: responseTimeout}
+		current := route.Route{Address: serviceAddress(r), LatencyGoal: latencyGoal, Timeout: responseTimeout, Repeatable: repeatableRoute(r)}
 		for _, service := range services {
 			current.Targets = append(current.Targets, route.Target{Service: platform.ServiceID(serviceName(service)), Weight: 1})
 		}
@@ -46,6 +46,9 @@
 	return routes
 }
 
+// repeatableRoute reports whether the requests of a route may be repeated.
+func repeatableRoute(route int) bool { return route%2 == 1 }
+
 // indexOf returns the route of an address, or -1 if there is none.
 func (t *targets) indexOf(address netip.AddrPort) int {
 	for r := range t.byRoute {
