bulk: Pace uploads on slow links

Cause: uploads stood still while links were idle. The window of one client, 16 packets, takes 54 ms: each window lost its last packets, the same ones again on retransmission, and the client then stopped for 200 ms, doubling up to 1.6 s. Two uploads that waited for the link were also placed in the same moment, since a flow only counted from its first data packet, and an upload was refused after 180 ms, three times in a row where a data centre has one balancer.

Change: package bulk decides about uploads without network or clock. A Pacer keeps their packets back while 25 ms are queued on the link, so that none is dropped and packets of other flows overtake them. A Link counts a flow from its start, lets waiting ones send in the order in which they can still meet their goals, and refuses at once those whose wait would take half of their goal, unless the client has just been refused here.

The two tests of the balancer about bulk flows check the same with the new rates: five flows now fit 7.5 Mbit/s, and a further one starts with the end of another instead of 20 ms later.

--- a/internal/flow/balancer/balancer.go
+++ b/internal/flow/balancer/balancer.go
@@ -9,6 +9,7 @@
 
 	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/internal/common/identity"
+	"github.com/orioledyke/orioledyke/internal/flow/bulk"
 	"github.com/orioledyke/orioledyke/internal/flow/relay"
 	"github.com/orioledyke/orioledyke/internal/flow/route"
 	"github.com/orioledyke/orioledyke/internal/flow/segment"
@@ -85,6 +86,8 @@
 	// OutcomeExpired means that a waiting flow was dropped after its client had
 	// stopped waiting.
 	OutcomeExpired
+	// OutcomeWaitingForLink means that a new bulk flow waits until the link has room.
+	OutcomeWaitingForLink
 	// OutcomeCount is the number of outcomes.
 	OutcomeCount
 )
@@ -92,7 +95,7 @@
 var outcomeNames = [OutcomeCount]string{
 	"placed", "moved-on", "timed-out", "forwarded", "searched", "reset", "no-route", "no-sidecar",
 	"invalid", "limited", "not-held", "claimed", "accepted", "waiting", "lost", "link-full", "unresolved",
-	"expired",
+	"expired", "waiting-for-link",
 }
 
 // String returns the outcome's name in metrics and logs.
@@ -153,8 +156,7 @@
 	changedServices map[identity.ServiceID]bool
 	holders         holders
 	flows           map[segment.Key]*flow
-	// waiting holds the pending flows that no sidecar can take now, and the bulk flows
-	// that wait for the link.
+	// waiting holds the pending flows that no sidecar can take now.
 	waiting []*pendingFlow
 	// nextPoll is when the balancer next tries to place the waiting flows.
 	nextPoll clock.Millis
@@ -162,11 +164,12 @@
 	// that have not been removed yet.
 	attempts      attempts
 	responseTimes responseEstimator
-	// bulkFlows are the bulk flows that are sending.
-	bulkFlows map[segment.Key]struct{}
-	// No further bulk flow may open while bulkLimit of them are sending. 0 means no limit.
-	bulkLimit int
-	buffer    []byte
+	// link admits bulk flows to the link of this host, and pacer their packets.
+	link   *bulk.Link
+	pacer  *bulk.Pacer
+	buffer []byte
+	// now is the time of the current call.
+	now       clock.Millis
 	lastSweep clock.Millis
 	// searchesInWindow counts the searches in the second from searchWindowStart.
 	searchWindowStart clock.Millis
@@ -223,7 +226,7 @@
 		changedServices: map[identity.ServiceID]bool{},
 		holders:         newHolders(),
 		flows:           map[segment.Key]*flow{},
-		bulkFlows:       map[segment.Key]struct{}{}, bulkLimit: maxBulkFlows(config.LinkRate),
+		link:            bulk.NewLink(config.LinkRate), pacer: bulk.NewPacer(config.LinkRate),
 	}
 }
 
@@ -249,6 +252,7 @@
 
 // HandleClient handles a packet that a client sent.
 func (b *Balancer) HandleClient(now clock.Millis, packet []byte) {
+	b.now = now
 	s, err := b.config.Decode(packet)
 	if err != nil || s.Returned {
 		b.record(Event{Outcome: OutcomeInvalid})
@@ -261,8 +265,8 @@
 	}
 	if f != nil && f.owner.IsValid() && !b.abandonsOwner(f) {
 		f.lastSeen = now
-		b.trackBulk(f, s)
-		b.forward(f.owner, relay.KindForward, f.service, packet)
+		b.trackBulk(now, f, s)
+		b.forwardOpen(now, f, packet)
 		b.counts[OutcomeForwarded]++
 		return
 	}
@@ -272,7 +276,7 @@
 // HandleSidecar handles a message that a sidecar sent. Messages of kinds that
 // balancers do not expect from sidecars are ignored.
 func (b *Balancer) HandleSidecar(now clock.Millis, from netip.AddrPort, m relay.Message) {
-	b.lastSidecarMessage = now
+	b.now, b.lastSidecarMessage = now, now
 	switch m.Kind {
 	case relay.KindReport:
 		b.applyReport(now, from, m.Report)
@@ -358,6 +362,7 @@
 		return
 	}
 	b.buffer = data
+	b.pacer.Sent(b.now, len(data))
 	b.config.ToSidecar(to, data)
 }
 
@@ -370,14 +375,16 @@
 // 0 if no flow waits for a sidecar, for the link, for a response or for its owner.
 func (b *Balancer) NextDeadline() clock.Millis {
 	var next clock.Millis
-	if len(b.waiting) > 0 {
+	if len(b.waiting) > 0 || b.link.Waiting() {
 		next = b.nextPoll
 	}
 	if len(b.attempts) > 0 && (next == 0 || b.attempts[0].deadline < next) {
 		next = b.attempts[0].deadline
 	}
-	if repeat := b.nextRepeat(); repeat > 0 && (next == 0 || repeat < next) {
-		next = repeat
+	for _, other := range []clock.Millis{b.nextRepeat(), b.pacer.NextRelease()} {
+		if other > 0 && (next == 0 || other < next) {
+			next = other
+		}
 	}
 	return next
 }
@@ -386,6 +393,8 @@
 // on further sidecars, repeats searches, finds lost sidecars, and removes expired state
 // once a second.
 func (b *Balancer) Tick(now clock.Millis) {
+	b.now = now
+	b.releasePackets(now)
 	b.retryPending(now)
 	b.repeatSearches(now)
 	if now-b.lastLossCheck >= lossCheckInterval {
--- a/internal/flow/balancer/balancer_test.go
+++ b/internal/flow/balancer/balancer_test.go
@@ -256,9 +256,9 @@
 }
 
 // Guards against uploads that fill a slow link and delay all other flows. The link of
-// 40 megabits per second allows five bulk flows at a time.
+// 7.5 megabits per second allows five bulk flows at a time.
 func TestBulkFlowsWaitForTheLink(t *testing.T) {
-	h := newHarnessWithLink(t, 40)
+	h := newHarnessWithLink(t, 7.5)
 	h.reportAll()
 	open := func(port uint16) {
 		h.balancer.HandleClient(h.now, packetFrom(port, openFlags, 0, 0))
@@ -273,9 +273,10 @@
 	h.c.Assert(h.takeForwards(), qt.HasLen, 0)
 	// Flag 16 ends the flow.
 	h.balancer.HandleClient(h.now, packetFrom(40001, ackFlags|16, 1, 0))
-	h.takeForwards()
-	h.advance(20)
-	h.c.Assert(h.takeForwards(), qt.HasLen, 1)
+	h.c.Assert(h.takeForwards(), qt.HasLen, 2)
+	// The new flow counts before its first data packet.
+	h.balancer.HandleClient(h.now, packetFrom(40010, openFlags, 0, 0))
+	h.c.Assert(h.takeForwards(), qt.HasLen, 0)
 }
 
 // Guards against an upload that waits for a full link until its client times out. The
--- a/internal/flow/balancer/pendingflow.go
+++ b/internal/flow/balancer/pendingflow.go
@@ -45,6 +45,8 @@
 	// waiting is set while the flow is one of Balancer.waiting. waitRecorded is set when
 	// OutcomeWaiting is recorded for the flow, so that it is recorded only once.
 	waiting, waitRecorded bool
+	// waitingForLink is set while a bulk flow waits until the link has room.
+	waitingForLink bool
 }
 
 // pastGoal reports whether the client has waited longer than the latency goal.
@@ -109,20 +111,19 @@
 		}
 	}
 	f.pending.retransmissions = max(f.pending.retransmissions, retransmissions)
-	if !f.pending.waiting {
+	switch {
+	case f.pending.waiting || f.pending.waitingForLink:
+	case f.bulk && len(f.pending.attempted) == 0:
+		b.offerToLink(now, f, f.pending)
+	default:
 		b.place(now, f, f.pending, 0)
 	}
 }
 
-// place sends the request of a pending flow to a sidecar that was not attempted yet. A
-// bulk flow waits first if the link is full. If no sidecar can be attempted, the flow
-// waits for one or is refused. It is not refused while an upstream may have accepted it.
+// place sends the request of a pending flow to a sidecar that was not attempted yet. If no
+// sidecar can be attempted, the flow waits for one or is refused. It is not refused while an upstream may have accepted it.
 // reason is why the last sidecar refused the flow; 0 means that it did not.
 func (b *Balancer) place(now clock.Millis, f *flow, p *pendingFlow, reason relay.Reason) {
-	if len(p.attempted) == 0 && f.bulk && b.bulkLimitReached(now) {
-		b.waitForLink(now, f, p)
-		return
-	}
 	sc, full := b.selectSidecar(now, p)
 	if len(p.attempted) < maxAttempts {
 		if sc != nil {
@@ -164,18 +165,6 @@
 	b.refuse(p.key, p.retransmissions, e)
 }
 
-// waitForLink holds a new bulk flow back until other bulk flows have ended or are idle.
-// After bulkWaitTimeout it refuses the flow, because the client's next request may reach
-// a balancer with a faster link.
-func (b *Balancer) waitForLink(now clock.Millis, f *flow, p *pendingFlow) {
-	if now-p.firstSent >= bulkWaitTimeout {
-		b.refusePending(p, Event{Outcome: OutcomeLinkFull})
-		return
-	}
-	f.lastSeen = now
-	b.enqueue(now, p)
-}
-
 // currentWaitTimeout returns how long a pending flow waits while its service has no
 // usable sidecar.
 func (b *Balancer) currentWaitTimeout() clock.Millis {
@@ -212,13 +201,18 @@
 
 // enqueue adds a pending flow to the waiting flows.
 func (b *Balancer) enqueue(now clock.Millis, p *pendingFlow) {
-	if len(b.waiting) == 0 {
-		b.nextPoll = now + waitPollInterval
-	}
+	b.schedulePoll(now)
 	p.waiting, p.deadline = true, 0
 	b.waiting = append(b.waiting, p)
 }
 
+// schedulePoll schedules the next attempt to place waiting flows if none is scheduled.
+func (b *Balancer) schedulePoll(now clock.Millis) {
+	if b.nextPoll <= now {
+		b.nextPoll = now + waitPollInterval
+	}
+}
+
 // retryWaiting tries to place the waiting flows, and drops those whose clients have
 // stopped waiting. The newest flow goes first, because the others have missed their
 // latency goals or are closer to missing them.
@@ -290,8 +284,10 @@
 // retryPending tries to place the waiting flows, and places each flow whose response
 // is overdue on another sidecar.
 func (b *Balancer) retryPending(now clock.Millis) {
-	if len(b.waiting) > 0 && now >= b.nextPoll {
+	if now >= b.nextPoll {
+		b.startBulkFlows(now)
 		b.retryWaiting(now)
+		b.schedulePoll(now)
 	}
 	for len(b.attempts) > 0 {
 		a := b.attempts[0]
--- a/internal/flow/configuration/follower_test.go
+++ b/internal/flow/configuration/follower_test.go
@@ -126,7 +126,7 @@
 // number.
 func cancellingFollower(s *store, lastSleep int, cancel func()) *configuration.Follower {
 	return configuration.New(configuration.Config{
-		Read: func(context.Context) (configuration.Document, error) { return s.document, s.err },
+		Read:         func(context.Context) (configuration.Document, error) { return s.document, s.err },
 		WatchTimeout: func() clock.Millis { return configuration.ReaderWatch },
 		Watch: func(context.Context, uint64, clock.Millis) (configuration.Document, bool, error) {
 			return s.document, false, s.err
--- a/internal/flow/node/balancer.go
+++ b/internal/flow/node/balancer.go
@@ -48,8 +48,9 @@
 	sidecars   *peerset.Set
 	directory  *directory
 	httpClient *http.Client
-	// timerSet is set while a timer waits for the next deadline of the machine.
-	timerSet bool
+	// timer fires at timerAt, the next deadline of the machine; 0 means that it is not set.
+	timer   *time.Timer
+	timerAt clock.Millis
 	// fetches receives the peers from which the configuration is to be fetched.
 	fetches chan netip.Addr
 	digests *digests
@@ -147,25 +148,28 @@
 	n.setTimer(now)
 }
 
-// setTimer starts a timer for the next deadline of the machine, such as that of a
-// missing response, unless a timer is already set.
+// setTimer makes the timer fire at the next deadline of the machine, such as that of a
+// missing response, unless it fires earlier.
 func (n *balancerNode) setTimer(now clock.Millis) {
-	if n.timerSet {
+	next := n.machine.NextDeadline()
+	if next == 0 || (n.timerAt != 0 && n.timerAt <= next) {
 		return
 	}
-	next := n.machine.NextDeadline()
-	if next == 0 {
+	n.timerAt = next
+	if n.timer == nil {
+		n.timer = time.AfterFunc(max(next-now, 1).Duration(), n.handleTimer)
 		return
 	}
-	n.timerSet = true
-	time.AfterFunc(max(next-now, 1).Duration(), func() {
-		n.mutex.Lock()
-		defer n.mutex.Unlock()
-		n.timerSet = false
-		now := n.clock.Now()
-		n.machine.Tick(now)
-		n.setTimer(now)
-	})
+	n.timer.Reset(max(next-now, 1).Duration())
+}
+
+func (n *balancerNode) handleTimer() {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.timerAt = 0
+	now := n.clock.Now()
+	n.machine.Tick(now)
+	n.setTimer(now)
 }
 
 func (n *balancerNode) handleRelay(from netip.AddrPort, data []byte) {
