node: Leave hosts without an upstream out of services

Cause: after a loss of power, hosts whose upstream had left before start once more and are then switched off for good.

Change: a sidecar whose upstream has never registered with it and whose port is closed reports that it holds no flow, as a leaving one does. Balancers ignore such a report of an unknown sidecar, and keep the host's entry, so that the directory's old list does not make them wait for it again.

--- a/internal/flow/balancer/sidecar.go
+++ b/internal/flow/balancer/sidecar.go
@@ -144,6 +144,9 @@
 // tries to place the waiting flows if the upstream accepts new flows.
 func (b *Balancer) applyReport(now clock.Millis, from netip.AddrPort, r relay.Report) {
 	sc := b.sidecars[from]
+	if sc == nil && r.Departed {
+		return
+	}
 	if sc == nil {
 		sc = &sidecar{address: from}
 		b.sidecars[from] = sc
--- a/internal/flow/balancer/unresolved_test.go
+++ b/internal/flow/balancer/unresolved_test.go
@@ -178,3 +178,18 @@
 	h.c.Assert(len(h.takeForwards()) <= 5, qt.IsTrue)
 	h.c.Assert(h.balancer.NextDeadline(), qt.Equals, clock.Millis(0))
 }
+
+// Guards against a member that never had an upstream: searches would wait for it when its
+// host is switched off.
+func TestAbsentUpstreamIsNoMember(t *testing.T) {
+	h := newHarness(t)
+	h.reportState(0, false)
+	h.balancer.TakeHostsOfChangedServices()
+	for range 3 {
+		h.balancer.HandleSidecar(h.now, sidecars[1], relay.Message{Kind: relay.KindReport, Report: relay.Report{Service: portal, Departed: true}})
+	}
+	h.c.Assert(h.balancer.TakeHostsOfChangedServices(), qt.HasLen, 0)
+	h.c.Assert(h.balancer.Sidecars(), qt.HasLen, 1)
+	h.reportState(1, false)
+	h.c.Assert(h.balancer.Sidecars(), qt.HasLen, 2)
+}
--- a/internal/flow/node/balancer.go
+++ b/internal/flow/node/balancer.go
@@ -181,14 +181,19 @@
 	}
 	// Only a report tells what the sidecar's upstream may hold. Until the first one, its
 	// host stays one of those that allReported waits for.
-	appeared := m.Kind == relay.KindReport && n.sidecars.MarkSeen(now, from.Addr(), m.Report.Interval)
+	departed := m.Kind == relay.KindReport && m.Report.Departed
+	appeared := false
+	switch {
+	case departed:
+		n.sidecars.MarkDeparted(now, from.Addr())
+	case m.Kind == relay.KindReport:
+		appeared = n.sidecars.MarkSeen(now, from.Addr(), m.Report.Interval)
+	}
 	if appeared {
 		n.logger.Info("sidecar-appeared", zap.Stringer("sidecar", from))
 	}
 	n.machine.HandleSidecar(now, from, m)
-	if m.Kind == relay.KindReport && m.Report.Departed {
-		n.sidecars.Remove(from.Addr())
-	} else if appeared {
+	if appeared {
 		n.digests.send(now, []netip.Addr{from.Addr()}, true)
 	}
 	n.setTimer(now)
--- a/internal/flow/node/presence.go
+++ b/internal/flow/node/presence.go
@@ -56,8 +56,13 @@
 	n.logger.Warn("upstream-absent", zap.String("upstream", n.upstreamID), zap.Error(err))
 	n.machine.DropFlows()
 	n.machine.SetLearning(false)
+	// A host without an upstream may be switched off at any time. If it stayed a member of
+	// its service, searches would then wait for it.
+	n.absent = n.upstreamID == ""
 	if n.machine.Accepting() {
 		n.machine.Refuse(relay.ReasonSilent)
-		n.reportTo(n.balancers.Live(n.clock.Now()))
+	} else if !n.absent {
+		return
 	}
+	n.reportTo(n.balancers.Live(n.clock.Now()))
 }
--- a/internal/flow/node/sidecar.go
+++ b/internal/flow/node/sidecar.go
@@ -71,8 +71,9 @@
 	// drainRestored is set when the store has been read for a drain that the upstream
 	// began before the start of this process, also if the read has failed or timed out.
 	drainRestored bool
-	// departed is set at the end of this process if the upstream has ended before it.
-	departed bool
+	// departed is set at the end of this process if the upstream has ended before it. absent
+	// is set while no upstream has registered with this process and its port is closed.
+	departed, absent bool
 }
 
 // RunSidecar runs a sidecar until options.Stop ends, and drains it then. It returns
@@ -208,6 +209,7 @@
 			zap.Uint64("sequence", h.Sequence), zap.Stringer("reason", result))
 		return result
 	}
+	n.absent = false
 	if n.upstreamID != h.ID || n.upstreamStartedAt != h.StartedAt {
 		n.replaceUpstream(h)
 	}
@@ -360,7 +362,7 @@
 	addresses, all := n.machine.Addresses()
 	m := relay.Message{Kind: relay.KindReport, Report: relay.Report{
 		Incarnation: n.incarnation, Service: platform.ServiceID(n.sidecarSettings.Service), DataCentre: n.settings.DataCentre,
-		Accepting: n.machine.Accepting(), Departed: n.departed, Stopping: n.stopping, Slots: current.Slots,
+		Accepting: n.machine.Accepting(), Departed: n.departed || n.absent, Stopping: n.stopping, Slots: current.Slots,
 		Warmup: n.registration.Warmup(n.clock.Now()), Interval: n.currentReportInterval, Load: n.machine.Load(),
 		Addresses: addresses, AllListed: all,
 	}}
--- a/internal/flow/peerset/peerset.go
+++ b/internal/flow/peerset/peerset.go
@@ -38,6 +38,8 @@
 	// seen is set once the host has sent a message. listed is set once another source has
 	// listed the host.
 	seen, listed bool
+	// departed is set from the announcement that the host leaves until its next message.
+	departed bool
 }
 
 // Set is a set of hosts of one role, such as all balancers. It is not safe for concurrent
@@ -61,7 +63,7 @@
 		return false
 	}
 	appeared := !h.live(now)
-	h.lastSeen, h.seen = now, true
+	h.lastSeen, h.seen, h.departed = now, true, false
 	if interval > 0 {
 		h.interval = interval
 	}
@@ -85,8 +87,14 @@
 	return added
 }
 
-// Remove removes a host that has announced that it leaves.
-func (s *Set) Remove(address netip.Addr) { delete(s.hosts, address) }
+// MarkDeparted records that a host has announced that it leaves or has nothing to offer.
+// It is in no list until its next other message. Its entry is kept, because other sources
+// may still list it.
+func (s *Set) MarkDeparted(now clock.Millis, address netip.Addr) {
+	if h := s.ensureHost(now, address); h != nil {
+		h.seen, h.lastSeen, h.departed = true, now, true
+	}
+}
 
 // ensureHost returns the entry of a host and creates it if there is none. It returns nil
 // for the process's own host and for an address that is not IPv4.
@@ -132,7 +140,7 @@
 func (s *Set) list(include func(*host) bool) []netip.Addr {
 	var addresses []netip.Addr
 	for address, h := range s.hosts {
-		if include(h) {
+		if !h.departed && include(h) {
 			addresses = append(addresses, address)
 		}
 	}
@@ -143,7 +151,9 @@
 // liveTimeout returns how long the host may be silent and still count as live.
 func (h *host) liveTimeout() clock.Millis { return max(minLiveTimeout, maxMissedMessages*h.interval) }
 
-func (h *host) live(now clock.Millis) bool { return h.seen && now-h.lastSeen <= h.liveTimeout() }
+func (h *host) live(now clock.Millis) bool {
+	return h.seen && !h.departed && now-h.lastSeen <= h.liveTimeout()
+}
 
 func (h *host) expired(now clock.Millis) bool {
 	return (!h.listed || now-h.lastListed > hostTTL) && (!h.seen || now-h.lastSeen > max(hostTTL, h.liveTimeout()))
--- a/internal/flow/peerset/peerset_test.go
+++ b/internal/flow/peerset/peerset_test.go
@@ -38,14 +38,22 @@
 	c.Assert(s.Silent(16*clock.Second), qt.HasLen, 0)
 }
 
-// Guards against waiting for a host that has announced that it leaves.
-func TestRemove(t *testing.T) {
+// Guards against waiting for a host that has announced that it leaves, also if the
+// directory still lists it, and against a host that cannot come back.
+func TestDepartedHost(t *testing.T) {
 	c := qt.New(t)
 	s := peerset.New(self)
 	s.MarkSeen(0, a, 0)
-	s.Remove(a)
+	s.MarkDeparted(0, a)
+	s.MarkDeparted(0, b)
+	s.MarkListed(0, []netip.Addr{a, b})
 	c.Assert(s.Live(0), qt.HasLen, 0)
 	c.Assert(s.Silent(0), qt.HasLen, 0)
+	c.Assert(s.Awaited(0), qt.HasLen, 0)
+	c.Assert(s.MarkSeen(10, a, 0), qt.IsTrue)
+	c.Assert(s.Live(10), equalsAddresses, []netip.Addr{a})
+	s.Expire(20 * clock.Second)
+	c.Assert(s.MarkListed(20*clock.Second, []netip.Addr{b}), equalsAddresses, []netip.Addr{b})
 }
 
 // Guards against waiting for a host that failed before it was listed. Its entry stays in the
