balancer: Forget absences when a sidecar comes back

The sidecar came back, the other services answered, and the flow was reset although its owner was known again.

Change: an absence is valid only as long as no sidecar joins the service or comes back to it.

--- a/internal/flow/balancer/balancer.go
+++ b/internal/flow/balancer/balancer.go
@@ -154,8 +154,11 @@
 	// changedServices are the services that a sidecar has joined or left since the
 	// last call of TakeHostsOfChangedServices.
 	changedServices map[identity.ServiceID]bool
-	holders         holders
-	flows           map[segment.Key]*flow
+	// joins counts how often a sidecar has joined each service, or has come back after it
+	// was lost.
+	joins   map[identity.ServiceID]int
+	holders holders
+	flows   map[segment.Key]*flow
 	// waiting holds the pending flows that no sidecar can take now.
 	waiting []*pendingFlow
 	// nextPoll is when the balancer next tries to place the waiting flows.
@@ -198,9 +201,9 @@
 	searchAttempts int
 	// lastSearch is when the last attempt to find the owner began.
 	lastSearch clock.Millis
-	// absentServices are the services in which these attempts have found that no upstream
-	// holds the flow.
-	absentServices []identity.ServiceID
+	// absences are the services in which these attempts have found that no upstream holds
+	// the flow.
+	absences []absence
 	// unresolved is set while the search for the owner is to be repeated.
 	unresolved *unresolvedFlow
 	// acknowledged is the position that the client acknowledged in the last packet for
@@ -224,6 +227,7 @@
 		sidecars:        map[netip.AddrPort]*sidecar{},
 		services:        map[identity.ServiceID][]*sidecar{},
 		changedServices: map[identity.ServiceID]bool{},
+		joins:           map[identity.ServiceID]int{},
 		holders:         newHolders(),
 		flows:           map[segment.Key]*flow{},
 		link:            bulk.NewLink(config.LinkRate), pacer: bulk.NewPacer(config.LinkRate),
--- a/internal/flow/balancer/search.go
+++ b/internal/flow/balancer/search.go
@@ -25,8 +25,15 @@
 	absenceTTL = 4 * clock.Second
 )
 
+// absence is a service in which no upstream holds a flow. It is valid as long as no sidecar
+// joins the service, because that one may own the flow.
+type absence struct {
+	service identity.ServiceID
+	joins   int
+}
+
 // endSearch forgets the attempts to find the owner.
-func (f *flow) endSearch() { f.searchAttempts, f.absentServices, f.unresolved = 0, nil, nil }
+func (f *flow) endSearch() { f.searchAttempts, f.absences, f.unresolved = 0, nil, nil }
 
 // abandonsOwner reports whether the packets of a flow must not be sent to its owner any
 // more, because the owner is lost and the client may repeat its request elsewhere. Other
@@ -124,8 +131,8 @@
 		b.record(Event{Outcome: OutcomeUnresolved, Key: m.Key, Sidecar: from, Attempt: int(m.Queried)})
 		return
 	}
-	if !slices.Contains(f.absentServices, sc.report.Service) {
-		f.absentServices = append(f.absentServices, sc.report.Service)
+	if found := b.absenceFrom(sc.report.Service); !slices.Contains(f.absences, found) {
+		f.absences = append(f.absences, found)
 	}
 	r, ok := b.table.Lookup(m.Key.Service())
 	if !ok || b.mayBeHeld(now, f, r) {
@@ -136,12 +143,17 @@
 	b.config.ToClient(m.Key.Client().Addr(), b.config.Reset(m.Key, f.acknowledged))
 }
 
+// absenceFrom returns the absence of a flow from a service as of now.
+func (b *Balancer) absenceFrom(service identity.ServiceID) absence {
+	return absence{service: service, joins: b.joins[service]}
+}
+
 // mayBeHeld reports whether a service in which the flow was not found to be absent may
 // hold it. A service without sidecars, or with lost ones only, has no upstream that can
 // serve the flow.
 func (b *Balancer) mayBeHeld(now clock.Millis, f *flow, r route.Route) bool {
 	possible := func(service identity.ServiceID) bool {
-		return b.possibleOwners(now, f, service) > 0 && !slices.Contains(f.absentServices, service)
+		return b.possibleOwners(now, f, service) > 0 && !slices.Contains(f.absences, b.absenceFrom(service))
 	}
 	return slices.ContainsFunc(b.holders.known(now, r), possible) || slices.ContainsFunc(b.holders.unlistedServices, possible)
 }
--- a/internal/flow/balancer/sidecar.go
+++ b/internal/flow/balancer/sidecar.go
@@ -227,6 +227,7 @@
 func (b *Balancer) addToService(sc *sidecar, service identity.ServiceID) {
 	sc.report.Service = service
 	b.changedServices[service] = true
+	b.joins[service]++
 	b.services[service] = append(b.services[service], sc)
 }
 
@@ -238,6 +239,7 @@
 	if sc.lost != lost {
 		sc.lost = lost
 		b.changedServices[sc.report.Service] = true
+		b.joins[sc.report.Service]++
 	}
 }
 
--- a/internal/flow/balancer/unresolved_test.go
+++ b/internal/flow/balancer/unresolved_test.go
@@ -193,3 +193,26 @@
 	h.reportState(1, false)
 	h.c.Assert(h.balancer.Sidecars(), qt.HasLen, 2)
 }
+
+// Guards against a reset that relies on the absence of a flow from a service whose lost
+// sidecar has come back in the meantime.
+func TestAbsenceEndsWithReturnOfSidecar(t *testing.T) {
+	h := newHarness(t)
+	h.setRoute(2, route.Route{Repeatable: true}, portal, archive)
+	other := parseAddress("10.1.0.21:7000")
+	reportOther := func() { h.reportHolder(other, archive, true) }
+	for i := range sidecars {
+		h.reportState(i, false)
+	}
+	for range 20 {
+		h.reportWithout(2, 100)
+		reportOther()
+	}
+	h.balancer.HandleClient(h.now, packet(ackFlags, 8, 100))
+	h.absentFrom(0, 2)
+	h.reportState(2, false)
+	h.absent(other)
+	h.c.Assert(h.resets, qt.Equals, 0)
+	h.absentFrom(0, 3)
+	h.c.Assert(h.resets, qt.Equals, 1)
+}
--- a/internal/standin/fleet/balancer.go
+++ b/internal/standin/fleet/balancer.go
@@ -34,16 +34,16 @@
 	draining     bool
 	startedAt    clock.Millis
 	failedProbes int
-	// reportsLostUntil is the end of a period in which no periodic report reaches this
-	// balancer.
-	reportsLostUntil clock.Millis
+	// reportsLostUntil is the end of a period in which no report of an upstream's sidecar
+	// reaches this balancer, by upstream.
+	reportsLostUntil map[int]clock.Millis
 	// heardFrom holds the sidecars from which this incarnation has received a report.
 	heardFrom map[netip.AddrPort]bool
 }
 
 func newBalancerHost(c *Cluster, index int) *balancerHost {
 	b := &balancerHost{
-		cluster: c, index: index,
+		cluster: c, index: index, reportsLostUntil: map[int]clock.Millis{},
 		relayAddress: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(index + 1)}), relayPort),
 	}
 	if c.config.Remote != nil {
@@ -151,7 +151,7 @@
 			}
 			u.receive(func() {
 				if m.Kind == relay.KindPing {
-					u.sendToBalancer(b, u.currentReport())
+					u.report(b)
 					return
 				}
 				u.logic.HandleMessage(b.cluster.now, b.relayAddress, m)
--- a/internal/standin/fleet/faults.go
+++ b/internal/standin/fleet/faults.go
@@ -97,8 +97,8 @@
 }
 
 // ReuseAddress ends an upstream and its sidecar for good and gives their address to another
-// service within 1 s. One balancer receives no reports in that second. Nothing happens if
-// the service already has the address.
+// service within 1 s. One balancer receives no reports of that sidecar in that second.
+// Nothing happens if the service already has the address.
 func (c *Cluster) ReuseAddress(index, service int) {
 	u := c.upstreams[index]
 	if u.removed || u.service == service {
@@ -106,7 +106,7 @@
 	}
 	u.upstreamUp, u.sidecarUp = false, false
 	u.sidecarIncarnation++
-	c.balancers[c.random.IntN(len(c.balancers))].reportsLostUntil = c.now + clock.Second
+	c.balancers[c.random.IntN(len(c.balancers))].reportsLostUntil[index] = c.now + clock.Second
 	c.after(clock.Millis(c.random.IntN(int(clock.Second))), func() {
 		u.service = service
 		u.startUpstream()
