balancer: Compare a local sidecar with a random one

Cause: of the two random sidecars that a new flow compares, both were in another data centre for most flows (five data centres: 64%), so that most packets of requests crossed data centres for no reason of load. Bytes between data centres are most of the packets of uploads and downloads, and of responses from there.

Change: one of the two is a random local sidecar, the other a random one of all others. The cost of a remote one stays, so a busy data centre passes flows on.

--- a/internal/flow/balancer/sidecar.go
+++ b/internal/flow/balancer/sidecar.go
@@ -335,7 +335,8 @@
 
 // selectSidecar selects a sidecar for a new flow among the usable ones that were not
 // attempted yet and are not full. The first attempt takes the cheaper of two random
-// sidecars, so that balancers that know the same loads do not all select the same one.
+// sidecars, so that balancers that know the same loads do not all select the same one. One
+// of the two is in this data centre, if any is, so that fewer packets leave it.
 // Later attempts take the cheapest of all. If there is no sidecar to select, best is nil,
 // and full reports whether a usable sidecar that was not attempted yet is full.
 func (b *Balancer) selectSidecar(now clock.Millis, p *pendingFlow) (best *sidecar, full bool) {
@@ -356,9 +357,23 @@
 	if len(p.attempted) > 0 || len(candidates) < 3 {
 		return b.cheapest(now, candidates), false
 	}
-	i := b.config.Random(len(candidates))
-	j := (i + 1 + b.config.Random(len(candidates)-1)) % len(candidates)
-	return b.cheapest(now, []*sidecar{candidates[i], candidates[j]}), false
+	first := b.randomOf(local(candidates, b.config.DataCentre))
+	others := slices.DeleteFunc(slices.Clone(candidates), func(sc *sidecar) bool { return sc == first })
+	return b.cheapest(now, []*sidecar{first, b.randomOf(others)}), false
+}
+
+// randomOf returns a random one of the given sidecars.
+func (b *Balancer) randomOf(sidecars []*sidecar) *sidecar {
+	return sidecars[b.config.Random(len(sidecars))]
+}
+
+// local returns the sidecars in a data centre or, if there are none, all.
+func local(sidecars []*sidecar, dataCentre string) []*sidecar {
+	found := slices.DeleteFunc(slices.Clone(sidecars), func(sc *sidecar) bool { return sc.report.DataCentre != dataCentre })
+	if len(found) == 0 {
+		return sidecars
+	}
+	return found
 }
 
 func (b *Balancer) cheapest(now clock.Millis, candidates []*sidecar) *sidecar {
