soak: Move the targets of routes

The soak of real processes now also changes the targets of routes, one of which has repeatable requests, and sends each route to its own service again before it checks recovery. It tells the oracle when a sidecar is killed or paused, so that the oracle can tell a reset that the users' rules allow.

--- a/internal/standin/fleet/client.go
+++ b/internal/standin/fleet/client.go
@@ -19,6 +19,8 @@
 	latencyGoal clock.Millis = 150
 	// maxAttempts is the largest number of flows that a client opens for one request.
 	maxAttempts = 3
+	// restartTime is how long after its restart a sidecar may not be known to all balancers.
+	restartTime = 2 * clock.Second
 	// maxThinkTime is the longest time in ms between two requests of a long flow.
 	maxThinkTime = 800
 )
@@ -221,10 +223,10 @@
 // seconds after the restart of the sidecar.
 func (u *upstreamHost) unreachableFor(cf *clientFlow) bool {
 	end := u.cluster.now
-	if u.sidecarUp {
+	if u.sidecarUp && !u.sidecarInterrupted {
 		end = u.sidecarStartedAt
 	}
-	recent := u.cluster.now-end < clock.Second
+	recent := u.cluster.now-end < restartTime
 	return u.sidecarKilled && recent && end-u.sidecarEndedAt >= clock.Second && repeatableRoute(u.cluster.targets.indexOf(cf.service))
 }
 
--- a/internal/standin/fleet/remote.go
+++ b/internal/standin/fleet/remote.go
@@ -45,6 +45,22 @@
 	b.failedProbes++
 }
 
+// SetSidecarInterrupted records whether the process of a sidecar outside of the cluster is
+// interrupted without notice: killed and not restarted yet, or paused.
+func (c *Cluster) SetSidecarInterrupted(upstream int, interrupted bool) {
+	u := c.upstreams[upstream]
+	switch {
+	case u.sidecarInterrupted == interrupted:
+	case interrupted:
+		u.sidecarInterrupted, u.sidecarKilled, u.sidecarEndedAt = true, true, c.now
+	default:
+		u.sidecarInterrupted, u.sidecarStartedAt = false, c.now
+	}
+}
+
+// RepeatableRoute reports whether the requests of a route may be repeated.
+func RepeatableRoute(route int) bool { return repeatableRoute(route) }
+
 // DeliverToClient delivers a packet from a balancer or sidecar outside of the cluster to
 // its client. Packets shorter than a header are dropped.
 func (c *Cluster) DeliverToClient(packet []byte) {
--- a/internal/standin/fleet/upstream.go
+++ b/internal/standin/fleet/upstream.go
@@ -45,10 +45,11 @@
 	// sidecarEndedAt is when the last process of the sidecar ended, and sidecarStartedAt when
 	// the current one started.
 	sidecarEndedAt, sidecarStartedAt clock.Millis
-	// sidecarKilled is set if that last process ended without notice.
-	sidecarKilled bool
-	removed       bool
-	learningUntil clock.Millis
+	// sidecarKilled is set if that last process ended without notice. sidecarInterrupted is
+	// set while a process outside of the cluster is.
+	sidecarKilled, sidecarInterrupted bool
+	removed                           bool
+	learningUntil                     clock.Millis
 	// servedStart is the start time of the upstream incarnation that the sidecar serves, 0
 	// if it knows none.
 	servedStart int64
--- a/internal/standin/soak/faults.go
+++ b/internal/standin/soak/faults.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"os"
 	"syscall"
 
@@ -33,6 +34,7 @@
 		return "pause " + b.name
 	case 3:
 		sc.kill()
+		cluster.SetSidecarInterrupted(u, true)
 		return "kill " + sc.name
 	case 4:
 		sc.stop()
@@ -40,6 +42,7 @@
 	case 5:
 		sc.signal(syscall.SIGSTOP)
 		sc.pausedUntil = pauseEnd
+		cluster.SetSidecarInterrupted(u, true)
 		return "pause " + sc.name
 	case 6:
 		cluster.RestartUpstream(u, clock.Millis(200+cluster.RandomInt(2000)))
@@ -58,8 +61,11 @@
 		}
 		return "add an upstream"
 	case 10:
+		route := cluster.RandomInt(s.config.Services)
+		targets := [][]int{{route}, {cluster.RandomInt(s.config.Services)}, {0, 1}}[cluster.RandomInt(3)]
+		cluster.Retarget(route, targets...)
 		s.configure()
-		return "configure"
+		return fmt.Sprintf("configure route %d with the services %v", route, targets)
 	case 11:
 		f := storeFault(cluster.RandomInt(int(storeFaultCount)))
 		s.store.setFault(f)
@@ -115,8 +121,12 @@
 }
 
 // ClearFaults ends the faults of the store and of the connections, resets the connections,
-// and resumes paused processes.
+// resumes paused processes, and sends each route to its own service again.
 func (s *System) ClearFaults() {
+	for route := range s.config.Services {
+		s.cluster.Retarget(route, route)
+	}
+	s.configure()
 	s.store.setFault(storeWorks)
 	for _, h := range append(append([]*host(nil), s.balancers...), s.sidecars...) {
 		h.storeProxy.setFault(linkWorks)
