balancer: Log lost sidecars

A balancer changes what it believes about a sidecar when it counts it as lost and when it hears it again; both have a line now, with the time of silence.

--- a/internal/flow/balancer/balancer.go
+++ b/internal/flow/balancer/balancer.go
@@ -140,6 +140,9 @@
 	// Until then, a flow that no sidecar claims may still exist. If AllReported is nil, all
 	// sidecars count as having reported.
 	AllReported func() bool
+	// LossChanged is called when a sidecar begins or ceases to count as lost, with the time
+	// since its last message. It may be nil.
+	LossChanged func(sidecar netip.AddrPort, lost bool, silence clock.Millis)
 	// Observe receives every decision, except those to forward a packet to a known owner.
 	// It may be nil.
 	Observe func(Event)
@@ -219,6 +222,9 @@
 	if config.Observe == nil {
 		config.Observe = func(Event) {}
 	}
+	if config.LossChanged == nil {
+		config.LossChanged = func(netip.AddrPort, bool, clock.Millis) {}
+	}
 	if config.AllReported == nil {
 		config.AllReported = func() bool { return true }
 	}
--- a/internal/flow/balancer/balancer_test.go
+++ b/internal/flow/balancer/balancer_test.go
@@ -60,6 +60,8 @@
 	// messages holds all messages to sidecars but pings, whose recipients are in pings.
 	messages []relay.Message
 	pings    []netip.AddrPort
+	// losses holds for each call of LossChanged whether the sidecar is lost.
+	losses []bool
 }
 
 func newHarness(t *testing.T) *harness { return newHarnessWithLink(t, 0) }
@@ -90,6 +92,7 @@
 		ToClient:    func(netip.Addr, []byte) { h.resets++ },
 		Random:      func(int) int { return 0 },
 		AllReported: func() bool { return h.allReported },
+		LossChanged: func(_ netip.AddrPort, lost bool, _ clock.Millis) { h.losses = append(h.losses, lost) },
 	})
 	h.balancer.SetTable(h.now, route.NewTable(route.Config{Version: 1, Routes: []route.Route{
 		{
--- a/internal/flow/balancer/sidecar.go
+++ b/internal/flow/balancer/sidecar.go
@@ -238,6 +238,7 @@
 	}
 	if sc.lost != lost {
 		sc.lost = lost
+		b.config.LossChanged(sc.address, lost, b.now-sc.lastSeen)
 		b.changedServices[sc.report.Service] = true
 		b.joins[sc.report.Service]++
 	}
--- a/internal/flow/balancer/unresolved_test.go
+++ b/internal/flow/balancer/unresolved_test.go
@@ -96,6 +96,8 @@
 	h.balancer.HandleClient(h.now, packet(ackFlags, 8, 100))
 	h.absentFrom(0, 2)
 	h.c.Assert(h.resets, qt.Equals, 1)
+	report(2)
+	h.c.Assert(h.losses, qt.DeepEquals, []bool{true, false})
 }
 
 // Guards against a balancer that is cut off and takes all sidecars for lost.
--- a/internal/flow/node/balancer.go
+++ b/internal/flow/node/balancer.go
@@ -80,6 +80,7 @@
 		ToClient:    b.toClient,
 		Random:      random,
 		AllReported: n.allReported,
+		LossChanged: n.logLoss,
 		Observe:     n.observe,
 	})
 	n.digests = &digests{node: n}
@@ -199,6 +200,15 @@
 	n.setTimer(now)
 }
 
+// logLoss logs that a sidecar begins or ceases to count as lost.
+func (n *balancerNode) logLoss(sidecar netip.AddrPort, lost bool, silence clock.Millis) {
+	if lost {
+		n.logger.Warn("sidecar-lost", zap.Stringer("sidecar", sidecar), zap.Int64("silent-ms", int64(silence)))
+		return
+	}
+	n.logger.Info("sidecar-regained", zap.Stringer("sidecar", sidecar))
+}
+
 // allReported reports whether every sidecar that may hold flows has reported.
 func (n *balancerNode) allReported() bool {
 	now := n.clock.Now()
