--- a/internal/flow/balancer/balancer.go
+++ b/internal/flow/balancer/balancer.go
@@ -180,8 +180,9 @@
 	// searchesInWindow counts the searches in the second from searchWindowStart.
 	searchWindowStart clock.Millis
 	searchesInWindow  int
-	unresolved        []*unresolvedFlow
-	lastLossCheck     clock.Millis
+	// unresolved holds the flows whose search is to be repeated.
+	unresolved    []*unresolvedFlow
+	lastLossCheck clock.Millis
 	// lastSidecarMessage is when the last message of any sidecar arrived.
 	lastSidecarMessage clock.Millis
 	counts             [OutcomeCount]uint64
--- a/internal/flow/balancer/search.go
+++ b/internal/flow/balancer/search.go
@@ -117,8 +117,8 @@
 	return live[b.config.Random(len(live))], true
 }
 
-// handleAbsent handles a search that found no owner. If the searches in all services
-// that may hold the flow covered all possible owners, no upstream can serve it. The flow is then
+// handleAbsent handles a search that found no owner. If the searches in all services that
+// may hold the flow covered all possible owners, no upstream can serve it. The flow is then
 // reset, so that a client with a request in progress need not wait for its deadline. A
 // flow is left alone if a sidecar that was not queried or has not reported yet may be the
 // owner, or if the client does not wait for a response.
