configuration: Fetch from peers also while versions follow each other

What callers saw: on a balancer that the store turns away, a version took as long as the series of changes in which it came. New flows went by the old routes meanwhile.

Cause: a balancer waited 250 ms after the newest version that a digest had shown before it asked a peer, so that the store could deliver it first. Each higher version began the wait again, and the digests that check it come every 500 ms. The class of fault is a delay that the events it waits for restart.

Change: the decision is a type of its own, configuration.Peers. The wait counts from the first version that is missing, and a fetch that is due is made whatever follows. The peer is selected when the fetch begins, so that no obsolete second fetch runs.

Failed before: TestDigestsOfStormLeadToFetch in the form for the old fields (no fetch in 9 s of versions at 100 ms). Ruled out: no wait at all (every balancer would fetch each version that the store delivers some milliseconds later).

--- a/internal/flow/node/balancer.go
+++ b/internal/flow/node/balancer.go
@@ -28,9 +28,6 @@
 	// balancer.
 	drainQuietTime    clock.Millis = 1200
 	drainPollInterval clock.Millis = 100
-	// peerFetchDelay is how long the store may take to deliver a version that a peer
-	// has, before the balancer requests it from the peer.
-	peerFetchDelay clock.Millis = 250
 )
 
 // balancerNode is the process of a balancer.
@@ -43,20 +40,15 @@
 	// timer fires at timerAt, the next deadline of the machine; 0 means that it is not set.
 	timer   *time.Timer
 	timerAt clock.Millis
-	// fetches receives the peers from which the configuration is to be fetched.
-	fetches chan netip.Addr
-	digests *digests
+	// versions decides when to fetch the configuration from a peer. fetchDue wakes the part
+	// that fetches it.
+	versions *configuration.Peers
+	fetchDue chan struct{}
+	digests  *digests
 	// compressed is the configuration that peers get.
 	compressed compressedConfiguration
 	// lastPacket is the time of the last packet of a client.
 	lastPacket clock.Millis
-	// newestVersion is the highest configuration version that a peer has reported. It is
-	// reset after a failed fetch.
-	newestVersion uint64
-	// newestPeer is the peer that first reported newestVersion.
-	newestPeer netip.Addr
-	// newestSince is the time of that report.
-	newestSince clock.Millis
 }
 
 // RunBalancer runs a balancer until options.Stop ends, and drains it then. It
@@ -68,7 +60,7 @@
 	}
 	defer b.close()
 	n := &balancerNode{
-		base: b, sidecars: peerset.New(s.RelayAddress.Addr()), fetches: make(chan netip.Addr, 1),
+		base: b, sidecars: peerset.New(s.RelayAddress.Addr()), versions: configuration.NewPeers(), fetchDue: make(chan struct{}, 1),
 		httpClient: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	n.machine = balancer.New(balancer.Config{
@@ -230,6 +222,7 @@
 	n.mutex.Lock()
 	applied := n.machine.SetTable(n.clock.Now(), table)
 	if applied {
+		n.versions.Applied(n.clock.Now(), table.Version())
 		n.digests.spread(n.clock.Now())
 	}
 	n.mutex.Unlock()
--- a/internal/flow/node/digest.go
+++ b/internal/flow/node/digest.go
@@ -65,11 +65,9 @@
 		n.digests.send(now, []netip.Addr{from}, true)
 	}
 	n.addHosts(now, platform.Hosts{platform.Balancers: d.Balancers, platform.Sidecars: d.Sidecars})
-	if d.Version > n.newestVersion {
-		n.newestVersion, n.newestPeer, n.newestSince = d.Version, from, now
-	}
-	if d.Version > 0 && n.machine.Table() == nil {
-		n.requestFetch(from)
+	n.versions.Report(now, from, d.Version)
+	if n.machine.Table() == nil {
+		n.requestFetch(now)
 	}
 }
 
@@ -80,8 +78,7 @@
 }
 
 // sendDigests does the periodic work of the balancer. It sends the digests of a round,
-// and requests a newer configuration from a peer if the store has not delivered it within
-// peerFetchDelay.
+// and requests a newer configuration from a peer if that is due.
 func (n *balancerNode) sendDigests(context.Context) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
@@ -91,9 +88,7 @@
 	n.balancers.Expire(now)
 	n.sidecars.Expire(now)
 	n.digests.sendRound(now)
-	if n.newestVersion > n.machine.Table().Version() && now-n.newestSince >= peerFetchDelay {
-		n.requestFetch(n.newestPeer)
-	}
+	n.requestFetch(now)
 }
 
 // sendRound sends the digests of one round.
--- a/internal/flow/node/digest_test.go
+++ b/internal/flow/node/digest_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"net"
 	"net/netip"
 	"testing"
@@ -9,8 +10,11 @@
 	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/internal/common/settings"
 	"github.com/orioledyke/orioledyke/internal/flow/balancer"
+	"github.com/orioledyke/orioledyke/internal/flow/configuration"
 	"github.com/orioledyke/orioledyke/internal/flow/peerset"
 	"github.com/orioledyke/orioledyke/internal/flow/relay"
+	"github.com/orioledyke/orioledyke/internal/flow/route"
+	"go.uber.org/zap"
 )
 
 // digestRecorder receives the digests that a balancer sends to any loopback address.
@@ -122,3 +126,25 @@
 		r.c.Assert(r.round(clock.Millis(i)*digestInterval), qt.HasLen, 17)
 	}
 }
+
+// Guards against digests of further versions that defer the fetch of a version that the
+// store does not deliver.
+func TestDigestsOfStormLeadToFetch(t *testing.T) {
+	r := newDigestRecorder(t)
+	n := r.node
+	var time clock.Manual
+	n.clock, n.logger = time.Clock(), zap.NewNop()
+	n.versions, n.fetchDue = configuration.NewPeers(), make(chan struct{}, 1)
+	n.machine.SetTable(0, route.NewTable(route.Config{Version: 1}))
+	n.versions.Applied(0, 1)
+	peer := netip.MustParseAddr("127.2.0.1")
+	const applyLimit = 4 * clock.Second
+	for version := uint64(2); len(n.fetchDue) == 0; version++ {
+		time.Advance(100)
+		r.c.Assert(time.Now() <= applyLimit, qt.IsTrue)
+		n.handleDigest(time.Now(), peer, relay.Digest{Version: version})
+		if time.Now()%digestInterval == 0 {
+			n.sendDigests(context.Background())
+		}
+	}
+}
--- a/internal/flow/node/peerconfiguration.go
+++ b/internal/flow/node/peerconfiguration.go
@@ -12,6 +12,7 @@
 
 	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/internal/common/stall"
+	"github.com/orioledyke/orioledyke/internal/flow/configuration"
 	"github.com/orioledyke/orioledyke/internal/flow/route"
 	"github.com/samber/oops"
 	"go.uber.org/zap"
@@ -28,42 +29,51 @@
 	configurationPath = "/configuration"
 )
 
-// requestFetch fetches the configuration of a peer in the background. It does nothing if
-// a fetch is already queued.
-func (n *balancerNode) requestFetch(peer netip.Addr) {
+// requestFetch wakes serveFetches if the configuration is to be fetched from a peer now.
+func (n *balancerNode) requestFetch(now clock.Millis) {
+	if _, due := n.versions.Next(now); !due {
+		return
+	}
 	select {
-	case n.fetches <- peer:
+	case n.fetchDue <- struct{}{}:
 	default:
 	}
 }
 
-// serveFetches carries out the fetches that requestFetch queues, one after the other.
+// serveFetches fetches the configuration from a peer whenever that is due. The peer is
+// selected when the fetch begins, because the configuration may have arrived meanwhile.
 func (n *balancerNode) serveFetches(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case peer := <-n.fetches:
-			n.fetchConfiguration(ctx, peer)
+		case <-n.fetchDue:
+		}
+		n.mutex.Lock()
+		fetch, due := n.versions.Next(n.clock.Now())
+		n.mutex.Unlock()
+		if due {
+			n.fetchConfiguration(ctx, fetch)
 		}
 	}
 }
 
 // fetchConfiguration fetches the configuration of a peer and puts it into effect if it is
 // newer.
-func (n *balancerNode) fetchConfiguration(ctx context.Context, peer netip.Addr) {
-	address := netip.AddrPortFrom(peer, n.settings.RelayAddress.Port())
+func (n *balancerNode) fetchConfiguration(ctx context.Context, fetch configuration.Fetch) {
+	address := netip.AddrPortFrom(fetch.Peer, n.settings.RelayAddress.Port())
 	content, err := n.get(ctx, "http://"+address.String()+configurationPath)
 	if err == nil {
 		err = n.applyConfiguration("peer", content)
 	}
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.versions.Ended(n.clock.Now(), fetch)
+	if current := n.machine.Table().Version(); err == nil && current < fetch.Version {
+		err = oops.Errorf("peer reported version %d and sent at most version %d", fetch.Version, current)
+	}
 	if err != nil {
-		n.logger.Warn("peer-configuration-failed", zap.Stringer("balancer", peer), zap.Error(err))
-		n.mutex.Lock()
-		// This reset makes the next digest with the version select the peer for the next
-		// fetch.
-		n.newestVersion = n.machine.Table().Version()
-		n.mutex.Unlock()
+		n.logger.Warn("peer-configuration-failed", zap.Stringer("balancer", fetch.Peer), zap.Error(err))
 	}
 }
 
