node: Log and count how long a newer configuration is missing

The lines of one balancer did not tell why it had an old configuration: that a peer had a newer one was not logged, nor how old the store's last answer was. The lag could only be computed from the lines of all balancers.

configuration-applied gets behind-ms, configuration-behind is logged once for each version that is missing for 1.5 s, and a gauge shows the time. They tell a store connection that is silent, peers that do not deliver and a slow transfer apart.

--- a/internal/flow/node/balancer.go
+++ b/internal/flow/node/balancer.go
@@ -12,7 +12,6 @@
 	"github.com/orioledyke/orioledyke/internal/flow/configuration"
 	"github.com/orioledyke/orioledyke/internal/flow/peerset"
 	"github.com/orioledyke/orioledyke/internal/flow/relay"
-	"github.com/orioledyke/orioledyke/internal/flow/route"
 	"github.com/orioledyke/orioledyke/internal/flow/segment"
 	"github.com/orioledyke/orioledyke/platform"
 	"go.uber.org/zap"
@@ -44,7 +43,11 @@
 	// that fetches it.
 	versions *configuration.Peers
 	fetchDue chan struct{}
-	digests  *digests
+	// storeRespondedAt is the time of the store's last response about the configuration.
+	storeRespondedAt clock.Millis
+	// behindLogged is set from the line of logBehind until the next version is in effect.
+	behindLogged bool
+	digests      *digests
 	// compressed is the configuration that peers get.
 	compressed compressedConfiguration
 	// lastPacket is the time of the last packet of a client.
@@ -97,7 +100,7 @@
 		n.digests.sendSiblings(now)
 	})
 	n.tree.Add("configuration", configuration.New(configuration.Config{
-		Read: n.store.Configuration, Watch: n.store.WatchConfiguration, WatchTimeout: n.watchTimeout,
+		Read: n.readConfiguration, Watch: n.watchConfiguration, WatchTimeout: n.watchTimeout,
 		Apply:               func(content []byte) error { return n.applyConfiguration("store", content) },
 		AvailabilityChanged: n.storeAvailabilityChanged,
 		Rejected:            func(err error) { n.logger.Warn("configuration-rejected", zap.Error(err)) },
@@ -211,38 +214,6 @@
 	return now-n.startedAt >= wait && len(n.sidecars.Awaited(now)) == 0
 }
 
-// applyConfiguration puts a configuration into effect if it is newer than the current
-// one. source names its origin in the log.
-func (n *balancerNode) applyConfiguration(source string, content []byte) error {
-	config, err := platform.DecodeConfiguration(content)
-	if err != nil {
-		return err
-	}
-	table := route.NewTable(config)
-	n.mutex.Lock()
-	applied := n.machine.SetTable(n.clock.Now(), table)
-	if applied {
-		n.versions.Applied(n.clock.Now(), table.Version())
-		n.digests.spread(n.clock.Now())
-	}
-	n.mutex.Unlock()
-	if applied {
-		n.logger.Info("configuration-applied", zap.Uint64("version", table.Version()),
-			zap.Int("routes", table.Len()), zap.String("source", source))
-	}
-	return nil
-}
-
-// watchTimeout returns how long the next watch of the configuration may wait.
-func (n *balancerNode) watchTimeout() clock.Millis {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	if isReader(n.settings.RelayAddress.Addr(), n.balancers.Live(n.clock.Now())) {
-		return configuration.ReaderWatch
-	}
-	return configuration.FollowerWatch
-}
-
 func (n *balancerNode) storeAvailabilityChanged(err error) {
 	if err != nil {
 		n.logger.Warn("store-lost", zap.Error(err))
--- /dev/null
+++ b/internal/flow/node/configuration.go
@@ -0,0 +1,86 @@
+package node
+
+import (
+	"context"
+
+	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/flow/configuration"
+	"github.com/orioledyke/orioledyke/internal/flow/route"
+	"github.com/orioledyke/orioledyke/platform"
+	"go.uber.org/zap"
+)
+
+// behindLogDelay is how long a peer must have had a newer version before that is logged.
+// Usually the version is in effect within a second.
+const behindLogDelay clock.Millis = 1500
+
+// applyConfiguration puts a configuration into effect if it is newer than the current
+// one. source names its origin in the log.
+func (n *balancerNode) applyConfiguration(source string, content []byte) error {
+	config, err := platform.DecodeConfiguration(content)
+	if err != nil {
+		return err
+	}
+	table := route.NewTable(config)
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	now := n.clock.Now()
+	if !n.machine.SetTable(now, table) {
+		return nil
+	}
+	fields := []zap.Field{
+		zap.Uint64("version", table.Version()), zap.Int("routes", table.Len()), zap.String("source", source),
+	}
+	if _, since, behind := n.versions.Behind(now); behind {
+		fields = append(fields, zap.Int64("behind-ms", int64(since)))
+	}
+	n.versions.Applied(now, table.Version())
+	n.behindLogged = false
+	n.digests.spread(now)
+	n.logger.Info("configuration-applied", fields...)
+	return nil
+}
+
+// logBehind logs that a newer version than the one in effect has been known for
+// behindLogDelay.
+func (n *balancerNode) logBehind(now clock.Millis) {
+	newest, since, behind := n.versions.Behind(now)
+	if !behind || since < behindLogDelay || n.behindLogged {
+		return
+	}
+	n.behindLogged = true
+	n.logger.Warn("configuration-behind", zap.Uint64("version", n.machine.Table().Version()), zap.Uint64("newest", newest),
+		zap.Int64("behind-ms", int64(since)), zap.Int64("store-silent-ms", int64(now-n.storeRespondedAt)))
+}
+
+// watchTimeout returns how long the next watch of the configuration may wait.
+func (n *balancerNode) watchTimeout() clock.Millis {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if isReader(n.settings.RelayAddress.Addr(), n.balancers.Live(n.clock.Now())) {
+		return configuration.ReaderWatch
+	}
+	return configuration.FollowerWatch
+}
+
+func (n *balancerNode) readConfiguration(ctx context.Context) (configuration.Document, error) {
+	document, err := n.store.Configuration(ctx)
+	if err == nil {
+		n.recordStoreResponse()
+	}
+	return document, err
+}
+
+func (n *balancerNode) watchConfiguration(ctx context.Context, after uint64, wait clock.Millis) (configuration.Document, bool, error) {
+	document, changed, err := n.store.WatchConfiguration(ctx, after, wait)
+	if err == nil {
+		n.recordStoreResponse()
+	}
+	return document, changed, err
+}
+
+func (n *balancerNode) recordStoreResponse() {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.storeRespondedAt = n.clock.Now()
+}
--- a/internal/flow/node/digest.go
+++ b/internal/flow/node/digest.go
@@ -89,6 +89,7 @@
 	n.sidecars.Expire(now)
 	n.digests.sendRound(now)
 	n.requestFetch(now)
+	n.logBehind(now)
 }
 
 // sendRound sends the digests of one round.
--- a/internal/flow/node/digest_test.go
+++ b/internal/flow/node/digest_test.go
@@ -15,6 +15,7 @@
 	"github.com/orioledyke/orioledyke/internal/flow/relay"
 	"github.com/orioledyke/orioledyke/internal/flow/route"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 )
 
 // digestRecorder receives the digests that a balancer sends to any loopback address.
@@ -148,3 +149,26 @@
 		}
 	}
 }
+
+// Guards against a balancer with an old configuration whose log does not show it, or shows
+// it with each digest.
+func TestBehindIsLoggedOnce(t *testing.T) {
+	r := newDigestRecorder(t)
+	n := r.node
+	var time clock.Manual
+	core, logs := observer.New(zap.WarnLevel)
+	n.clock, n.logger = time.Clock(), zap.New(core)
+	n.versions, n.fetchDue = configuration.NewPeers(), make(chan struct{}, 1)
+	n.machine.SetTable(0, route.NewTable(route.Config{Version: 3}))
+	n.versions.Applied(0, 3)
+	n.handleDigest(0, netip.MustParseAddr("127.2.0.1"), relay.Digest{Version: 5})
+	for range 10 {
+		time.Advance(digestInterval)
+		n.sendDigests(context.Background())
+	}
+	behind := logs.FilterMessage("configuration-behind").All()
+	r.c.Assert(behind, qt.HasLen, 1)
+	r.c.Assert(behind[0].ContextMap(), qt.DeepEquals, map[string]any{
+		"version": uint64(3), "newest": uint64(5), "behind-ms": int64(1500), "store-silent-ms": int64(1500),
+	})
+}
--- a/internal/flow/node/metrics.go
+++ b/internal/flow/node/metrics.go
@@ -43,6 +43,14 @@
 		func() float64 { return float64(n.machine.Flows()) })
 	n.gaugeFunc("orioledyke_flow_balancer_configuration_version", "Version of the configuration in effect.",
 		func() float64 { return float64(n.machine.Table().Version()) })
+	n.gaugeFunc("orioledyke_flow_balancer_configuration_behind_seconds",
+		"Time for which a newer version than the one in effect has been known from peers; 0 if none is.",
+		func() float64 {
+			if _, since, behind := n.versions.Behind(n.clock.Now()); behind {
+				return since.Duration().Seconds()
+			}
+			return 0
+		})
 	n.gaugeFunc("orioledyke_flow_balancer_usable_sidecars", "Sidecars that may get new flows.",
 		func() float64 { return float64(n.machine.UsableSidecars(n.clock.Now())) })
 }
