configuration: Give up watches that peers have overtaken

What callers saw: after the store had turned a balancer away in silence and served it again, the balancer kept an old configuration for up to 20 s more, unless a peer helped.

Cause: since all but six balancers watch with calls of 20 s, and a watch that the store has ceased to serve looks like one without a change. The digests were meant to cover that, but they only led to a fetch from a peer; the watch stayed. The class of fault is a long wait that no evidence ends.

Change: when a peer has delivered a version and the store has not responded for 2 s after that, the watch ends, and the follower reads the configuration anew. 2 s leave room for a large configuration on a slow link. Short watches and a store that responds are not affected.

Ruled out: short watches on all balancers again (27 calls a second more at 500 balancers); keep-alive probes of the kernel (an intermediate proxy answers them).

--- a/internal/flow/configuration/peers.go
+++ b/internal/flow/configuration/peers.go
@@ -13,6 +13,10 @@
 	// failedPeerDelay is how long a peer that has not delivered what it reported is asked
 	// only if no other peer has a newer version.
 	failedPeerDelay = 2 * clock.Second
+	// storeGrace is how long the store may take for a version that a peer has delivered,
+	// before its silence counts as a failure. It has room for a large configuration on a
+	// slow link.
+	storeGrace = 2 * clock.Second
 )
 
 // Peers decides when a process fetches the configuration from a peer, and from which one.
@@ -26,6 +30,12 @@
 	// behindSince is the time since which a peer has had a newer version while the version
 	// in effect has not changed. It is not valid while reports is empty.
 	behindSince clock.Millis
+	// storeRespondedAt is the time of the store's last response about the configuration.
+	storeRespondedAt clock.Millis
+	// overtaken is set from the time overtakenAt, at which a peer has delivered a version
+	// before the store, until the store responds.
+	overtaken   bool
+	overtakenAt clock.Millis
 }
 
 // report is the newest version that a peer has reported.
@@ -55,8 +65,25 @@
 	}
 }
 
-// Applied records that a version is in effect, whatever its source.
-func (p *Peers) Applied(now clock.Millis, version uint64) {
+// StoreResponded records a response of the store about the configuration.
+func (p *Peers) StoreResponded(now clock.Millis) { p.storeRespondedAt, p.overtaken = now, false }
+
+// StoreSilence returns the time since the store's last response.
+func (p *Peers) StoreSilence(now clock.Millis) clock.Millis { return now - p.storeRespondedAt }
+
+// StoreOverdue reports whether the store has not responded for storeGrace after a peer
+// delivered a newer version. A watch in progress then waits on a connection that has gone
+// silent, or the store has stopped to serve it.
+func (p *Peers) StoreOverdue(now clock.Millis) bool {
+	return p.overtaken && now-p.overtakenAt >= storeGrace
+}
+
+// Applied records that a version is in effect that the store has delivered or, if fromPeer
+// is set, a peer.
+func (p *Peers) Applied(now clock.Millis, version uint64, fromPeer bool) {
+	if fromPeer && !p.overtaken {
+		p.overtaken, p.overtakenAt = true, now
+	}
 	p.current = version
 	for peer, known := range p.reports {
 		if known.version <= version {
--- a/internal/flow/configuration/peers_test.go
+++ b/internal/flow/configuration/peers_test.go
@@ -34,7 +34,7 @@
 
 func newSimulation() *simulation {
 	s := &simulation{peers: configuration.NewPeers(), confirmedAt: map[uint64]clock.Millis{}, newest: 1, current: 1}
-	s.peers.Applied(0, 1)
+	s.peers.Applied(0, 1, false)
 	s.deliver = func(netip.Addr) uint64 { return s.newest }
 	return s
 }
@@ -64,7 +64,7 @@
 			s.worst = max(s.worst, s.now-s.confirmedAt[v])
 		}
 		s.current = version
-		s.peers.Applied(s.now, version)
+		s.peers.Applied(s.now, version, true)
 	}
 	s.peers.Ended(s.now, fetch)
 }
@@ -116,12 +116,12 @@
 	fetch, due := p.Next(0)
 	c.Assert(due, qt.IsTrue)
 	c.Assert(fetch, qt.Equals, configuration.Fetch{Peer: peerAddress(0), Version: 7})
-	p.Applied(10, 7)
+	p.Applied(10, 7, true)
 	p.Report(20, peerAddress(1), 7)
 	p.Report(30, peerAddress(2), 8)
 	_, due = p.Next(100)
 	c.Assert(due, qt.IsFalse)
-	p.Applied(110, 8)
+	p.Applied(110, 8, false)
 	p.Report(120, peerAddress(2), 6)
 	_, due = p.Next(10 * clock.Second)
 	c.Assert(due, qt.IsFalse)
@@ -131,7 +131,7 @@
 func TestOlderReportReplacesNewer(t *testing.T) {
 	c := qt.New(t)
 	p := configuration.NewPeers()
-	p.Applied(0, 3)
+	p.Applied(0, 3, false)
 	p.Report(0, peerAddress(0), 9)
 	p.Report(10, peerAddress(1), 8)
 	p.Report(20, peerAddress(0), 2)
@@ -139,3 +139,20 @@
 	c.Assert(due, qt.IsTrue)
 	c.Assert(fetch, qt.Equals, configuration.Fetch{Peer: peerAddress(1), Version: 8})
 }
+
+// Guards against a watch that waits on a silent connection while peers deliver versions,
+// and against ending watches of a store that responds or has no time to.
+func TestSilentStoreIsOverdue(t *testing.T) {
+	c := qt.New(t)
+	p := configuration.NewPeers()
+	p.Applied(0, 1, false)
+	p.StoreResponded(0)
+	c.Assert(p.StoreOverdue(20*clock.Second), qt.IsFalse)
+	p.Applied(20*clock.Second, 2, true)
+	p.StoreResponded(21 * clock.Second)
+	c.Assert(p.StoreOverdue(30*clock.Second), qt.IsFalse)
+	p.Applied(30*clock.Second, 3, true)
+	c.Assert(p.StoreOverdue(31*clock.Second), qt.IsFalse)
+	p.Applied(31*clock.Second, 4, true)
+	c.Assert(p.StoreOverdue(30*clock.Second+applyLimit), qt.IsTrue)
+}
--- a/internal/flow/node/balancer.go
+++ b/internal/flow/node/balancer.go
@@ -43,8 +43,8 @@
 	// that fetches it.
 	versions *configuration.Peers
 	fetchDue chan struct{}
-	// storeRespondedAt is the time of the store's last response about the configuration.
-	storeRespondedAt clock.Millis
+	// cancelWatch ends the watch of the configuration that began last; nil before the first.
+	cancelWatch context.CancelCauseFunc
 	// behindLogged is set from the line of logBehind until the next version is in effect.
 	behindLogged bool
 	digests      *digests
@@ -101,7 +101,7 @@
 	})
 	n.tree.Add("configuration", configuration.New(configuration.Config{
 		Read: n.readConfiguration, Watch: n.watchConfiguration, WatchTimeout: n.watchTimeout,
-		Apply:               func(content []byte) error { return n.applyConfiguration("store", content) },
+		Apply:               func(content []byte) error { return n.applyConfiguration(sourceStore, content) },
 		AvailabilityChanged: n.storeAvailabilityChanged,
 		Rejected:            func(err error) { n.logger.Warn("configuration-rejected", zap.Error(err)) },
 		Sleep:               sleep, Random: random,
--- a/internal/flow/node/configuration.go
+++ b/internal/flow/node/configuration.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/internal/flow/configuration"
@@ -14,6 +15,16 @@
 // Usually the version is in effect within a second.
 const behindLogDelay clock.Millis = 1500
 
+// The sources of a configuration, as the log names them.
+const (
+	sourceStore = "store"
+	sourcePeer  = "peer"
+)
+
+// errWatchOverdue is the cause of a watch that was ended because the store has not
+// delivered what peers have.
+var errWatchOverdue = errors.New("store has not delivered a version that a peer has")
+
 // applyConfiguration puts a configuration into effect if it is newer than the current
 // one. source names its origin in the log.
 func (n *balancerNode) applyConfiguration(source string, content []byte) error {
@@ -34,7 +45,7 @@
 	if _, since, behind := n.versions.Behind(now); behind {
 		fields = append(fields, zap.Int64("behind-ms", int64(since)))
 	}
-	n.versions.Applied(now, table.Version())
+	n.versions.Applied(now, table.Version(), source == sourcePeer)
 	n.behindLogged = false
 	n.digests.spread(now)
 	n.logger.Info("configuration-applied", fields...)
@@ -50,7 +61,7 @@
 	}
 	n.behindLogged = true
 	n.logger.Warn("configuration-behind", zap.Uint64("version", n.machine.Table().Version()), zap.Uint64("newest", newest),
-		zap.Int64("behind-ms", int64(since)), zap.Int64("store-silent-ms", int64(now-n.storeRespondedAt)))
+		zap.Int64("behind-ms", int64(since)), zap.Int64("store-silent-ms", int64(n.versions.StoreSilence(now))))
 }
 
 // watchTimeout returns how long the next watch of the configuration may wait.
@@ -71,7 +82,13 @@
 	return document, err
 }
 
+// watchConfiguration watches the configuration until endOverdueWatch ends it.
 func (n *balancerNode) watchConfiguration(ctx context.Context, after uint64, wait clock.Millis) (configuration.Document, bool, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	n.mutex.Lock()
+	n.cancelWatch = cancel
+	n.mutex.Unlock()
 	document, changed, err := n.store.WatchConfiguration(ctx, after, wait)
 	if err == nil {
 		n.recordStoreResponse()
@@ -79,8 +96,16 @@
 	return document, changed, err
 }
 
+// endOverdueWatch ends a watch that the store no longer serves, so that the configuration
+// is read again. Otherwise the watch could last for another FollowerWatch.
+func (n *balancerNode) endOverdueWatch(now clock.Millis) {
+	if n.cancelWatch != nil && n.versions.StoreOverdue(now) {
+		n.cancelWatch(errWatchOverdue)
+	}
+}
+
 func (n *balancerNode) recordStoreResponse() {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	n.storeRespondedAt = n.clock.Now()
+	n.versions.StoreResponded(n.clock.Now())
 }
--- a/internal/flow/node/digest.go
+++ b/internal/flow/node/digest.go
@@ -90,6 +90,7 @@
 	n.digests.sendRound(now)
 	n.requestFetch(now)
 	n.logBehind(now)
+	n.endOverdueWatch(now)
 }
 
 // sendRound sends the digests of one round.
--- a/internal/flow/node/digest_test.go
+++ b/internal/flow/node/digest_test.go
@@ -137,7 +137,7 @@
 	n.clock, n.logger = time.Clock(), zap.NewNop()
 	n.versions, n.fetchDue = configuration.NewPeers(), make(chan struct{}, 1)
 	n.machine.SetTable(0, route.NewTable(route.Config{Version: 1}))
-	n.versions.Applied(0, 1)
+	n.versions.Applied(0, 1, false)
 	peer := netip.MustParseAddr("127.2.0.1")
 	const applyLimit = 4 * clock.Second
 	for version := uint64(2); len(n.fetchDue) == 0; version++ {
@@ -160,7 +160,7 @@
 	n.clock, n.logger = time.Clock(), zap.New(core)
 	n.versions, n.fetchDue = configuration.NewPeers(), make(chan struct{}, 1)
 	n.machine.SetTable(0, route.NewTable(route.Config{Version: 3}))
-	n.versions.Applied(0, 3)
+	n.versions.Applied(0, 3, false)
 	n.handleDigest(0, netip.MustParseAddr("127.2.0.1"), relay.Digest{Version: 5})
 	for range 10 {
 		time.Advance(digestInterval)
--- a/internal/flow/node/peerconfiguration.go
+++ b/internal/flow/node/peerconfiguration.go
@@ -64,7 +64,7 @@
 	address := netip.AddrPortFrom(fetch.Peer, n.settings.RelayAddress.Port())
 	content, err := n.get(ctx, "http://"+address.String()+configurationPath)
 	if err == nil {
-		err = n.applyConfiguration("peer", content)
+		err = n.applyConfiguration(sourcePeer, content)
 	}
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
