balancer: Let retransmissions from a reused port follow the table

A new flow from a port that an earlier flow had used went to that flow's service, whatever the configuration said by then, if its first transmission was lost or had gone to another balancer.

Cause: the retransmission of a request went to the accepted owner of the entry without regard to the entry's age. Entries live for the idle time-out, 12 s and more; clients open a flow within 1.4 s.

Change: the owner gets retransmissions for 1.4 s after it has accepted or claimed the flow. Later they are requests for a new flow. The class of fault is a decision of an older version that outlives it.

Failed before: TestRetransmissionFromReusedPortFollowsTable (the packet went to the sidecar of the former service).

--- a/internal/flow/balancer/balancer.go
+++ b/internal/flow/balancer/balancer.go
@@ -194,7 +194,10 @@
 	// unknown.
 	owner    netip.AddrPort
 	lastSeen clock.Millis
-	accepted bool
+	// accepted is set from acceptedAt, the time at which the owner has accepted or claimed
+	// the flow.
+	accepted   bool
+	acceptedAt clock.Millis
 	// service, bulk and repeatable come from the flow's route.
 	service    identity.ServiceID
 	bulk       bool
@@ -300,7 +303,7 @@
 	case relay.KindClaimed:
 		b.applyLoad(now, from, m.Load)
 		f := b.ensureFlow(now, m.Key)
-		f.owner, f.accepted = from, true
+		f.owner, f.accepted, f.acceptedAt = from, true, now
 		f.endSearch()
 		if sc := b.sidecars[from]; sc != nil {
 			f.service = sc.report.Service
--- a/internal/flow/balancer/pendingflow.go
+++ b/internal/flow/balancer/pendingflow.go
@@ -88,9 +88,9 @@
 // handleRequest handles a client's request for a new flow.
 func (b *Balancer) handleRequest(now clock.Millis, f *flow, s segment.Segment, packet []byte) {
 	retransmissions := s.Acknowledged
-	if f != nil && retransmissions > 0 && f.accepted {
+	if f != nil && retransmissions > 0 && f.accepted && now-f.acceptedAt <= maxOpenTimeout {
 		// The upstream's response was lost. The upstream sends it again when it gets
-		// the retransmission.
+		// the retransmission. Later, the request is for a new flow from the same port.
 		f.lastSeen = now
 		b.forward(f.owner, relay.KindForward, f.service, packet)
 		b.counts[OutcomeForwarded]++
@@ -253,7 +253,7 @@
 		return
 	}
 	f.lastSeen = now
-	f.owner, f.accepted = from, true
+	f.owner, f.accepted, f.acceptedAt = from, true, now
 	if p := f.pending; p != nil && len(p.attempted) == 1 {
 		// After more than one attempt it is unknown which of them the response
 		// belongs to, and so how long it took.
