balancer: Place waiting requests by the current configuration

A request that waited for a sidecar, a free slot or its link went to the service that its route had when the wait began, up to 1.4 s earlier, also if the route had been dropped.

Cause: the service was selected when the request arrived. Now it is selected when the request is first placed; without a route it is refused. Requests that a sidecar has already got keep their service, because an upstream may have accepted them.

Failed before: TestWaitingRequestFollowsTable (the request went to the former service).

--- a/internal/flow/balancer/newtable_test.go
+++ b/internal/flow/balancer/newtable_test.go
@@ -35,3 +35,26 @@
 	h.balancer.HandleClient(h.now, packet(openFlags, 1, 0))
 	h.c.Assert(h.takeForwards(), qt.HasLen, 0)
 }
+
+// Guards against a request that waits for a sidecar while its route moves or is dropped,
+// and then goes to the former service.
+func TestWaitingRequestFollowsTable(t *testing.T) {
+	h := newHarness(t)
+	h.allReported = false
+	h.balancer.HandleClient(h.now, packet(openFlags, 0, 0))
+	h.setTargets(2, board)
+	h.reportAll()
+	h.c.Assert(h.takeForwards(), qt.HasLen, 0)
+	h.reportHolder(sidecars[1], board, true)
+	h.advance(100)
+	h.c.Assert(h.takeForwards(), qt.DeepEquals, []string{sidecars[1].String()})
+
+	h = newHarness(t)
+	h.allReported = false
+	h.balancer.HandleClient(h.now, packet(openFlags, 0, 0))
+	h.balancer.SetTable(h.now, route.NewTable(route.Config{Version: 2}))
+	h.reportAll()
+	h.advance(100)
+	h.c.Assert(h.takeForwards(), qt.HasLen, 0)
+	h.c.Assert(h.resets, qt.Equals, 1)
+}
--- a/internal/flow/balancer/pendingflow.go
+++ b/internal/flow/balancer/pendingflow.go
@@ -124,6 +124,10 @@
 // sidecar can be attempted, the flow waits for one or is refused. It is not refused while an upstream may have accepted it.
 // reason is why the last sidecar refused the flow; 0 means that it did not.
 func (b *Balancer) place(now clock.Millis, f *flow, p *pendingFlow, reason relay.Reason) {
+	if len(p.attempted) == 0 && !b.followTable(f, p) {
+		b.refusePending(p, Event{Outcome: OutcomeNoRoute})
+		return
+	}
 	sc, full := b.selectSidecar(now, p)
 	if len(p.attempted) < maxAttempts {
 		if sc != nil {
@@ -157,6 +161,18 @@
 	b.refusePending(p, Event{Outcome: OutcomeNoSidecar, Reason: reason})
 }
 
+// followTable sets the service of a pending flow by the current configuration, which may
+// have replaced the one from which the flow began to wait. It returns false if there is no
+// route any more.
+func (b *Balancer) followTable(f *flow, p *pendingFlow) bool {
+	r, ok := b.table.Lookup(p.key.Service())
+	if ok {
+		f.service = r.Service(p.key)
+		p.service = f.service
+	}
+	return ok
+}
+
 // refusePending removes a pending flow that no upstream can have accepted, and refuses
 // it.
 func (b *Balancer) refusePending(p *pendingFlow, e Event) {
