node: Test that no source of a configuration reverts it

Covers older, equal, invalid and truncated documents and added routes from the store and from peers. No fault was found this way.

--- a/internal/flow/node/configuration_test.go
+++ b/internal/flow/node/configuration_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/flow/balancer"
 	"github.com/orioledyke/orioledyke/internal/flow/configuration"
 	"github.com/orioledyke/orioledyke/platform"
 	"go.uber.org/zap"
@@ -43,3 +47,39 @@
 	}
 	r.c.Assert(<-ended, qt.ErrorIs, errWatchOverdue)
 }
+
+// Guards against an older or invalid configuration that replaces the one in effect, and
+// against an added route that is not served, whatever the source.
+func TestNoSourceReverts(t *testing.T) {
+	r := newDigestRecorder(t)
+	n := r.node
+	var time clock.Manual
+	n.clock, n.logger, n.versions = time.Clock(), zap.NewNop(), configuration.NewPeers()
+	document := func(version int, hosts ...string) []byte {
+		var routes []string
+		for _, host := range hosts {
+			routes = append(routes, fmt.Sprintf(`{"name":"r","host":%q,"prefix":"/443/","service":"portal"}`, host))
+		}
+		return fmt.Appendf(nil, `{"version":%d,"routes":[%s]}`, version, strings.Join(routes, ","))
+	}
+	served := func() (hosts []string) {
+		for known := range n.machine.Table().Routes() {
+			hosts = append(hosts, known.Address.Addr().String())
+		}
+		slices.Sort(hosts)
+		return hosts
+	}
+	for _, sources := range [][]string{{sourceStore, sourcePeer}, {sourcePeer, sourceStore}, {sourcePeer, sourcePeer}} {
+		n.machine = balancer.New(balancer.Config{})
+		first, second := sources[0], sources[1]
+		r.c.Assert(n.applyConfiguration(first, document(5, "198.18.0.1")), qt.IsNil)
+		r.c.Assert(n.applyConfiguration(second, document(4, "198.18.0.9")), qt.IsNil)
+		r.c.Assert(n.applyConfiguration(second, document(5, "198.18.0.9")), qt.IsNil)
+		r.c.Assert(n.applyConfiguration(second, document(9, "198.18.0.1", "no address")), qt.IsNotNil)
+		r.c.Assert(n.applyConfiguration(second, document(9, "198.18.0.1")[:20]), qt.IsNotNil)
+		r.c.Assert(n.machine.Table().Version(), qt.Equals, uint64(5))
+		r.c.Assert(served(), qt.DeepEquals, []string{"198.18.0.1"})
+		r.c.Assert(n.applyConfiguration(second, document(7, "198.18.0.1", "198.18.0.2")), qt.IsNil)
+		r.c.Assert(served(), qt.DeepEquals, []string{"198.18.0.1", "198.18.0.2"})
+	}
+}
