soak: Write storms of configurations and check that they arrive

The soak changed configurations one at a time and counted a service as allowed once it had been a target, so that an old configuration on a balancer was no fault to it.

By hand (-soak.recover), the versions of all balancers are read twice a second: none may revert, and one that another running balancer has had for 4 s, the users' target, must be in effect. The bound is between balancers, so that it holds under faults of the store.

--- a/internal/standin/soak/faults.go
+++ b/internal/standin/soak/faults.go
@@ -21,7 +21,7 @@
 	sc := s.sidecars[u]
 	pauseEnd := s.now() + clock.Millis(300+cluster.RandomInt(3000))
 	mayDrain := cluster.ServingUpstreams(cluster.Service(u)) > minServing && !sc.retired
-	switch cluster.RandomInt(16) {
+	switch cluster.RandomInt(17) {
 	case 0:
 		b.kill()
 		return "kill " + b.name
@@ -84,6 +84,9 @@
 		h := []*host{b, sc}[cluster.RandomInt(2)]
 		h.storeProxy.reset()
 		return "reset of the connections of " + h.name
+	case 15:
+		s.startStorm()
+		return "storm of configurations"
 	default:
 		if mayDrain && cluster.RandomInt(2) == 0 {
 			return s.reuseAddress(u)
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -18,7 +18,8 @@
 	seeds         = flag.Int("soak.seeds", 1, "number of seeds of TestSoak")
 	rounds        = flag.Int("soak.rounds", 4, "number of faults in a run")
 	logFolder     = flag.String("soak.logs", "", "folder that keeps settings and logs; if empty, they are removed after the run")
-	checkRecovery = flag.Bool("soak.recover", false, "check that requests are served after the last fault")
+	checkRecovery = flag.Bool("soak.recover", false,
+		"check that requests are served after the last fault, and that configurations are in effect in time")
 )
 
 // runTimeout is the time after which a run that hangs is ended.
@@ -44,7 +45,8 @@
 // TestSoak guards against real processes that break a rule under faults from outside: a
 // flow that opens at another service or long after a drain, a reset of an open flow, a
 // response to another request, a second execution of a request that must not be repeated,
-// and a process that ends unexpectedly or does not end after SIGTERM.
+// a configuration that reverts or reaches some balancers late, and a process that ends
+// unexpectedly or does not end after SIGTERM.
 func TestSoak(t *testing.T) {
 	for n := *seed; n < *seed+uint64(*seeds); n++ {
 		t.Run(fmt.Sprint(n), func(t *testing.T) { runSoak(t, n) })
@@ -66,6 +68,7 @@
 	c.Assert(err, qt.IsNil)
 	s, err := New(ctx, Config{
 		Seed: seed, Balancers: 4, Upstreams: 3, Services: 2, Program: []string{program}, Folder: runFolder,
+		CheckVersions: *checkRecovery,
 	})
 	c.Assert(err, qt.IsNil)
 	s.Run(3 * clock.Second)
--- a/internal/standin/soak/system.go
+++ b/internal/standin/soak/system.go
@@ -77,6 +77,9 @@
 	Program []string
 	// Folder holds settings and logs.
 	Folder string
+	// CheckVersions is set to check that configurations are in effect within applyLimit. The
+	// check needs a machine on which processes run without long delays.
+	CheckVersions bool
 }
 
 // System holds the processes, the simulated cluster and the store. Its methods must be called
@@ -97,7 +100,9 @@
 	inbox     chan func()
 	startedAt time.Time
 	// version is that of the current configuration.
-	version    uint64
+	version uint64
+	// versions holds what each balancer has reported, if Config.CheckVersions is set.
+	versions   []versionHistory
 	lastProbe  clock.Millis
 	httpClient http.Client
 	failures   []string
@@ -138,6 +143,7 @@
 		}
 		s.balancers = append(s.balancers, h)
 	}
+	s.versions = make([]versionHistory, len(s.balancers))
 	for service := range config.Services {
 		for range config.Upstreams {
 			if err := s.addUpstream(service); err != nil {
@@ -416,6 +422,10 @@
 		if now-s.lastProbe >= probeInterval {
 			s.lastProbe = now
 			s.probe()
+			if s.config.CheckVersions {
+				s.trackInterruptions(now)
+				s.readVersions()
+			}
 			s.supervise(now)
 		}
 	}
