node: Log and count restores of the store

A process could not tell a restore of the store from an outage: both were store-lost and store-regained, and no line named the history that a revision belongs to. A rise is logged as store-restored and counted; a response from before a restore that arrives late is ignored.

No decision depends on the epoch yet.

--- a/internal/flow/node/configuration_test.go
+++ b/internal/flow/node/configuration_test.go
@@ -14,6 +14,7 @@
 	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/internal/flow/balancer"
 	"github.com/orioledyke/orioledyke/internal/flow/configuration"
+	"github.com/orioledyke/orioledyke/internal/flow/store"
 	"github.com/orioledyke/orioledyke/platform"
 	"go.uber.org/zap"
 )
@@ -32,7 +33,7 @@
 		<-request.Context().Done()
 	}))
 	r.c.Cleanup(func() { server.CloseClientConnections(); server.Close() })
-	n.store = platform.NewStore(netip.MustParseAddrPort(server.Listener.Addr().String()))
+	n.store = platform.NewStore(netip.MustParseAddrPort(server.Listener.Addr().String()), func(store.Epoch) {})
 	ended := make(chan error, 1)
 	go func() {
 		_, _, err := n.watchConfiguration(context.Background(), 1, configuration.FollowerWatch)
--- /dev/null
+++ b/internal/flow/node/epoch.go
@@ -0,0 +1,24 @@
+package node
+
+import (
+	"github.com/orioledyke/orioledyke/internal/flow/store"
+	"go.uber.org/zap"
+)
+
+// observeStoreEpoch records the epoch that a response of the store states, and logs that
+// the store has been restored. A response from before a restore may arrive after later
+// ones and is ignored.
+func (b *base) observeStoreEpoch(epoch store.Epoch) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	before := b.storeEpoch
+	if epoch <= before {
+		return
+	}
+	b.storeEpoch = epoch
+	if before == 0 {
+		return
+	}
+	b.storeRestores++
+	b.logger.Warn("store-restored", zap.Uint64("epoch", uint64(epoch)), zap.Uint64("before", uint64(before)))
+}
--- a/internal/flow/node/metrics.go
+++ b/internal/flow/node/metrics.go
@@ -34,6 +34,18 @@
 		}))
 }
 
+func (b *base) registerStoreMetrics() {
+	b.gaugeFunc("orioledyke_flow_store_epoch", "Newest epoch that the store has stated; 0 if it has not.",
+		func() float64 { return float64(b.storeEpoch) })
+	b.telemetry.Registry().MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "orioledyke_flow_store_restores_total", Help: "Restores of the store from an older copy that were noticed.",
+	}, func() float64 {
+		b.mutex.Lock()
+		defer b.mutex.Unlock()
+		return float64(b.storeRestores)
+	}))
+}
+
 func (n *balancerNode) registerMetrics() {
 	for o := range balancer.OutcomeCount {
 		n.counterFunc("orioledyke_flow_balancer_decisions_total", "Decisions about packets and flows.", o.String(),
--- a/internal/flow/node/node.go
+++ b/internal/flow/node/node.go
@@ -20,6 +20,7 @@
 	"github.com/orioledyke/orioledyke/internal/common/supervisor"
 	"github.com/orioledyke/orioledyke/internal/common/telemetry"
 	"github.com/orioledyke/orioledyke/internal/flow/peerset"
+	"github.com/orioledyke/orioledyke/internal/flow/store"
 	"github.com/orioledyke/orioledyke/platform"
 	"github.com/samber/oops"
 	"go.uber.org/zap"
@@ -74,6 +75,10 @@
 	mutex     sync.Mutex
 	balancers *peerset.Set
 	stopping  bool
+	// storeEpoch is the newest epoch that the store has stated, and storeRestores is the
+	// number of times that it has risen.
+	storeEpoch    store.Epoch
+	storeRestores uint64
 	// fieldBuffer holds the fields of the last log line about a flow. Its memory is
 	// reused for the next one.
 	fieldBuffer []zap.Field
@@ -89,8 +94,10 @@
 	}
 	b := &base{
 		options: options, settings: s, clock: clock.System(), telemetry: observed, logger: observed.Logger(),
-		store: platform.NewStore(s.StoreAddress), balancers: peerset.New(s.RelayAddress.Addr()),
+		balancers: peerset.New(s.RelayAddress.Addr()),
 	}
+	b.store = platform.NewStore(s.StoreAddress, b.observeStoreEpoch)
+	b.registerStoreMetrics()
 	b.startedAt = b.clock.Now()
 	b.tree = supervisor.New(string(s.Role), b.logger)
 	b.tree.Add("observe", observed.Serve)
