configuration: Read anew when the store's epoch has changed

Callers would see an older version for as long as no peer has the new one. A watch continues from a revision. When the store is restored from an older copy and its new history passes that revision before the next watch, the watch is accepted, and the version written in between is never delivered. No call needs to fail: a process that is paused across the restore, a restore between two calls and a silent connection all do it.

A revision now belongs to an epoch, and the response to a watch carries its own. If they differ, the configuration is read again. That is also right for a watch that waited across the restore.

TestVersionBehindReusedRevisionIsDelivered fails without the comparison: only the old version is applied in six watches.

Ruled out: 410, which the store returns only for a revision that it does not have; reading anew after errors, because none is needed.

--- a/internal/flow/configuration/follower.go
+++ b/internal/flow/configuration/follower.go
@@ -8,6 +8,7 @@
 	"errors"
 
 	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/flow/store"
 )
 
 const (
@@ -37,7 +38,7 @@
 type Document struct {
 	Content []byte
 	// Revision is the revision of the store at which the document was current.
-	Revision uint64
+	Revision store.Revision
 }
 
 // Config configures a Follower.
@@ -45,8 +46,8 @@
 	// Read returns the current configuration.
 	Read func(context.Context) (Document, error)
 	// Watch returns the newest change after a revision and true, or false if there is
-	// none within wait.
-	Watch func(ctx context.Context, after uint64, wait clock.Millis) (Document, bool, error)
+	// none within wait. In either case the document has the epoch of the response.
+	Watch func(ctx context.Context, after store.Revision, wait clock.Millis) (Document, bool, error)
 	// WatchTimeout returns how long the next watch may wait: ReaderWatch if this process is
 	// one of the few that must notice changes also when their connections go silent,
 	// FollowerWatch otherwise. Each watch is a call, so that with many processes the short
@@ -70,8 +71,10 @@
 
 // Follower reads the configuration and its changes.
 type Follower struct {
-	config      Config
-	revision    uint64
+	config Config
+	// revision is that of the last read or change. Its number is 0 if the configuration is
+	// to be read.
+	revision    store.Revision
 	backoff     clock.Millis
 	unavailable bool
 	// hasConfiguration is set when a configuration has been read.
@@ -95,7 +98,7 @@
 			f.backoff = minBackoff
 			continue
 		}
-		f.revision = 0
+		f.revision = store.Revision{}
 		wait := f.backoff + clock.Millis(f.config.Random(int(f.backoff)))
 		f.backoff = min(2*f.backoff, f.currentMaxBackoff())
 		if f.config.Sleep(ctx, wait) != nil {
@@ -119,9 +122,10 @@
 // A watch continues from the last read or change, not from the revision that a watch
 // without a change returns: a store that is losing its history can report a revision
 // without the events before it. If the store no longer has the history since the last
-// read or change, it returns ErrCompacted, and the configuration is read again.
+// read or change, or has been restored since, the configuration is read again. After a
+// restore the revision may name another change, with missed ones before it.
 func (f *Follower) Step(ctx context.Context) error {
-	if f.revision == 0 {
+	if f.revision.Number == 0 {
 		document, err := f.config.Read(ctx)
 		if err != nil {
 			return err
@@ -130,8 +134,8 @@
 		return nil
 	}
 	document, changed, err := f.config.Watch(ctx, f.revision, f.config.WatchTimeout())
-	if errors.Is(err, ErrCompacted) {
-		f.revision = 0
+	if errors.Is(err, ErrCompacted) || (err == nil && document.Revision.Epoch != f.revision.Epoch) {
+		f.revision = store.Revision{}
 		return nil
 	}
 	if err != nil {
--- a/internal/flow/configuration/follower_test.go
+++ b/internal/flow/configuration/follower_test.go
@@ -8,17 +8,18 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/internal/flow/configuration"
+	"github.com/orioledyke/orioledyke/internal/flow/store"
 )
 
 var errUnavailable = errors.New("store is unavailable")
 
-// store is a store whose responses the test sets. It records the calls of a follower.
-type store struct {
+// fakeStore is a store whose responses the test sets. It records the calls of a follower.
+type fakeStore struct {
 	document     configuration.Document
 	err          error
 	changed      bool
 	reads        int
-	watchedAfter []uint64
+	watchedAfter []store.Revision
 	waits        []clock.Millis
 	watchTimeout clock.Millis
 	sleeps       []clock.Millis
@@ -26,14 +27,14 @@
 	availability []error
 }
 
-func (s *store) follower() *configuration.Follower {
+func (s *fakeStore) follower() *configuration.Follower {
 	return configuration.New(configuration.Config{
 		Read: func(context.Context) (configuration.Document, error) {
 			s.reads++
 			return s.document, s.err
 		},
 		WatchTimeout: func() clock.Millis { return s.watchTimeout },
-		Watch: func(_ context.Context, after uint64, wait clock.Millis) (configuration.Document, bool, error) {
+		Watch: func(_ context.Context, after store.Revision, wait clock.Millis) (configuration.Document, bool, error) {
 			s.watchedAfter = append(s.watchedAfter, after)
 			s.waits = append(s.waits, wait)
 			return s.document, s.changed, s.err
@@ -49,20 +50,23 @@
 	})
 }
 
+// revision returns a revision of the store's first epoch.
+func revision(number uint64) store.Revision { return store.Revision{Epoch: 1, Number: number} }
+
 // Guards against missing a change because a watch without a change has advanced the
 // revision from which the next watch continues.
 func TestWatchContinuesFromLastChange(t *testing.T) {
 	c := qt.New(t)
 	ctx := context.Background()
-	s := &store{document: configuration.Document{Content: []byte("one"), Revision: 5}}
+	s := &fakeStore{document: configuration.Document{Content: []byte("one"), Revision: revision(5)}}
 	f := s.follower()
 	c.Assert(f.Step(ctx), qt.IsNil)
 	c.Assert(f.Step(ctx), qt.IsNil)
 	c.Assert(f.Step(ctx), qt.IsNil)
-	s.changed, s.document = true, configuration.Document{Content: []byte("two"), Revision: 8}
+	s.changed, s.document = true, configuration.Document{Content: []byte("two"), Revision: revision(8)}
 	c.Assert(f.Step(ctx), qt.IsNil)
 	c.Assert(f.Step(ctx), qt.IsNil)
-	c.Assert(s.watchedAfter, qt.DeepEquals, []uint64{5, 5, 5, 8})
+	c.Assert(s.watchedAfter, qt.DeepEquals, []store.Revision{revision(5), revision(5), revision(5), revision(8)})
 	c.Assert(s.applied[:2], qt.DeepEquals, []string{"one", "two"})
 	c.Assert(s.reads, qt.Equals, 1)
 }
@@ -71,7 +75,7 @@
 // readers, and against one that becomes a reader and keeps making long ones.
 func TestWatchTimeoutFollowsRole(t *testing.T) {
 	c := qt.New(t)
-	s := &store{document: configuration.Document{Revision: 5}, watchTimeout: configuration.FollowerWatch}
+	s := &fakeStore{document: configuration.Document{Revision: revision(5)}, watchTimeout: configuration.FollowerWatch}
 	f := s.follower()
 	c.Assert(f.Step(context.Background()), qt.IsNil)
 	c.Assert(f.Step(context.Background()), qt.IsNil)
@@ -85,16 +89,41 @@
 func TestDocumentIsReadAgainAfterCompaction(t *testing.T) {
 	c := qt.New(t)
 	ctx := context.Background()
-	s := &store{document: configuration.Document{Revision: 5}}
+	s := &fakeStore{document: configuration.Document{Revision: revision(5)}}
 	f := s.follower()
 	c.Assert(f.Step(ctx), qt.IsNil)
 	s.err = configuration.ErrCompacted
 	c.Assert(f.Step(ctx), qt.IsNil)
-	s.err, s.document.Revision = nil, 90
+	s.err, s.document.Revision = nil, revision(90)
 	c.Assert(f.Step(ctx), qt.IsNil)
 	c.Assert(f.Step(ctx), qt.IsNil)
 	c.Assert(s.reads, qt.Equals, 2)
-	c.Assert(s.watchedAfter, qt.DeepEquals, []uint64{5, 90})
+	c.Assert(s.watchedAfter, qt.DeepEquals, []store.Revision{revision(5), revision(90)})
+}
+
+// Guards against a version that is never delivered because the store was restored between
+// two watches, and its new history has passed the revision of the last one.
+func TestVersionBehindReusedRevisionIsDelivered(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	var applied []string
+	current := configuration.Document{Content: []byte("old"), Revision: revision(10)}
+	f := configuration.New(configuration.Config{
+		Read:         func(context.Context) (configuration.Document, error) { return current, nil },
+		WatchTimeout: func() clock.Millis { return configuration.ReaderWatch },
+		// The configuration was last written before the revision of each watch.
+		Watch: func(context.Context, store.Revision, clock.Millis) (configuration.Document, bool, error) {
+			return configuration.Document{Revision: store.Revision{Epoch: current.Revision.Epoch}}, false, nil
+		},
+		Apply: func(content []byte) error { applied = append(applied, string(content)); return nil },
+	})
+	c.Assert(f.Step(ctx), qt.IsNil)
+	c.Assert(f.Step(ctx), qt.IsNil)
+	current = configuration.Document{Content: []byte("new"), Revision: store.Revision{Epoch: 2, Number: 12}}
+	for range 6 {
+		c.Assert(f.Step(ctx), qt.IsNil)
+	}
+	c.Assert(applied, qt.DeepEquals, []string{"old", "new"})
 }
 
 // Guards against a flood of calls while the store is unavailable, and against a backoff
@@ -102,7 +131,7 @@
 func TestBackoff(t *testing.T) {
 	c := qt.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &store{document: configuration.Document{Revision: 5}}
+	s := &fakeStore{document: configuration.Document{Revision: revision(5)}}
 	f := cancellingFollower(s, 6, cancel)
 	c.Assert(f.Step(ctx), qt.IsNil)
 	s.err = errUnavailable
@@ -117,18 +146,18 @@
 func TestBackoffAtTheStart(t *testing.T) {
 	c := qt.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &store{err: errUnavailable}
+	s := &fakeStore{err: errUnavailable}
 	c.Assert(cancellingFollower(s, 4, cancel).Serve(ctx), qt.IsNil)
 	c.Assert(s.sleeps, qt.DeepEquals, []clock.Millis{100, 150, 150, 150})
 }
 
 // cancellingFollower returns a follower that calls cancel in the sleep with the given
 // number.
-func cancellingFollower(s *store, lastSleep int, cancel func()) *configuration.Follower {
+func cancellingFollower(s *fakeStore, lastSleep int, cancel func()) *configuration.Follower {
 	return configuration.New(configuration.Config{
 		Read:         func(context.Context) (configuration.Document, error) { return s.document, s.err },
 		WatchTimeout: func() clock.Millis { return configuration.ReaderWatch },
-		Watch: func(context.Context, uint64, clock.Millis) (configuration.Document, bool, error) {
+		Watch: func(context.Context, store.Revision, clock.Millis) (configuration.Document, bool, error) {
 			return s.document, false, s.err
 		},
 		Apply:               func([]byte) error { return nil },
--- a/internal/flow/node/configuration.go
+++ b/internal/flow/node/configuration.go
@@ -7,6 +7,7 @@
 	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/internal/flow/configuration"
 	"github.com/orioledyke/orioledyke/internal/flow/route"
+	"github.com/orioledyke/orioledyke/internal/flow/store"
 	"github.com/orioledyke/orioledyke/platform"
 	"go.uber.org/zap"
 )
@@ -83,7 +84,7 @@
 }
 
 // watchConfiguration watches the configuration until endOverdueWatch ends it.
-func (n *balancerNode) watchConfiguration(ctx context.Context, after uint64, wait clock.Millis) (configuration.Document, bool, error) {
+func (n *balancerNode) watchConfiguration(ctx context.Context, after store.Revision, wait clock.Millis) (configuration.Document, bool, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	n.mutex.Lock()
--- a/internal/flow/node/configuration_test.go
+++ b/internal/flow/node/configuration_test.go
@@ -36,7 +36,7 @@
 	n.store = platform.NewStore(netip.MustParseAddrPort(server.Listener.Addr().String()), func(store.Epoch) {})
 	ended := make(chan error, 1)
 	go func() {
-		_, _, err := n.watchConfiguration(context.Background(), 1, configuration.FollowerWatch)
+		_, _, err := n.watchConfiguration(context.Background(), store.Revision{Number: 1}, configuration.FollowerWatch)
 		ended <- err
 	}()
 	<-watching
