configuration: Back off while no watch can continue from a read

A store whose watches cannot continue from what was just read (410 at once, or an epoch that differs from that of reads) made a balancer read and watch without a pause, 250 calls a second each, which would use up the store's rate for all hosts. One loss of the history still leads to a read at once; further ones without a successful watch in between back off like failed calls.

TestBackoffWhileHistoryIsLost counts 100 calls without a pause before. Such a store was not seen; the comparison of epochs made the case easier to meet.

--- a/internal/flow/configuration/follower.go
+++ b/internal/flow/configuration/follower.go
@@ -34,6 +34,10 @@
 // no longer has.
 var ErrCompacted = errors.New("configuration: history is no longer available")
 
+// errHistoryLost is the error of a watch that again cannot continue from what has just
+// been read.
+var errHistoryLost = errors.New("configuration: history was lost again after a read")
+
 // Document is a configuration as the store holds it.
 type Document struct {
 	Content []byte
@@ -79,6 +83,9 @@
 	unavailable bool
 	// hasConfiguration is set when a configuration has been read.
 	hasConfiguration bool
+	// lostHistories is the number of consecutive watches that could not continue from what
+	// had been read before.
+	lostHistories int
 }
 
 // New returns a Follower that begins when Serve or Step is called.
@@ -135,18 +142,29 @@
 	}
 	document, changed, err := f.config.Watch(ctx, f.revision, f.config.WatchTimeout())
 	if errors.Is(err, ErrCompacted) || (err == nil && document.Revision.Epoch != f.revision.Epoch) {
-		f.revision = store.Revision{}
-		return nil
+		return f.loseHistory()
 	}
 	if err != nil {
 		return err
 	}
+	f.lostHistories = 0
 	if changed {
 		f.apply(document)
 	}
 	return nil
 }
 
+// loseHistory makes the next step read the configuration. It returns an error if the last
+// read has not helped, because reads and watches could otherwise alternate without a pause.
+func (f *Follower) loseHistory() error {
+	f.revision = store.Revision{}
+	f.lostHistories++
+	if f.lostHistories > 1 {
+		return errHistoryLost
+	}
+	return nil
+}
+
 func (f *Follower) apply(document Document) {
 	f.revision = document.Revision
 	f.hasConfiguration = true
--- a/internal/flow/configuration/follower_test.go
+++ b/internal/flow/configuration/follower_test.go
@@ -141,6 +141,37 @@
 	c.Assert(s.availability[0], qt.ErrorIs, errUnavailable)
 }
 
+// Guards against reads and watches that alternate without a pause while no watch can
+// continue from what was read.
+func TestBackoffWhileHistoryIsLost(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &fakeStore{document: configuration.Document{Revision: revision(5)}}
+	const expectedCalls, maxCalls = 8, 100
+	var calls int
+	f := configuration.New(configuration.Config{
+		Read:         func(context.Context) (configuration.Document, error) { calls++; return s.document, nil },
+		WatchTimeout: func() clock.Millis { return configuration.ReaderWatch },
+		Watch: func(context.Context, store.Revision, clock.Millis) (configuration.Document, bool, error) {
+			if calls++; calls >= maxCalls {
+				cancel()
+			}
+			return configuration.Document{}, false, nil
+		},
+		Apply:               func([]byte) error { return nil },
+		AvailabilityChanged: func(error) {},
+		Random:              func(int) int { return 0 },
+		Sleep: func(ctx context.Context, _ clock.Millis) error {
+			if calls >= expectedCalls {
+				cancel()
+			}
+			return ctx.Err()
+		},
+	})
+	c.Assert(f.Serve(ctx), qt.IsNil)
+	c.Assert(calls, qt.Equals, expectedCalls)
+}
+
 // Guards against a process that starts while the store is unavailable and notices late
 // that the store is available again.
 func TestBackoffAtTheStart(t *testing.T) {
