standin: Give the model of the metadata store a package of its own

The soak's store mixed the state of the store with HTTP and real time. Tests of decisions and, later, the emulator need the same model on a virtual clock.

--- a/internal/standin/soak/faults.go
+++ b/internal/standin/soak/faults.go
@@ -6,6 +6,7 @@
 	"syscall"
 
 	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/standin/metadata"
 )
 
 // minServing is the smallest number of upstreams of a service that a drain or the reuse of an
@@ -67,14 +68,14 @@
 		s.configure()
 		return fmt.Sprintf("configure route %d with the services %v", route, targets)
 	case 11:
-		f := storeFault(cluster.RandomInt(int(storeFaultCount)))
-		s.store.setFault(f)
+		f := metadata.Fault(cluster.RandomInt(int(metadata.FaultCount)))
+		s.store.SetFault(f)
 		if cluster.RandomInt(2) == 0 {
-			s.store.expireLeases()
+			s.store.Update((*metadata.Store).EndLeases)
 		}
 		return "fault of the store"
 	case 12:
-		s.store.compact()
+		s.store.Update((*metadata.Store).Compact)
 		return "store without history"
 	case 13:
 		h := []*host{b, sc}[cluster.RandomInt(2)]
@@ -130,7 +131,7 @@
 		s.cluster.Retarget(route, route)
 	}
 	s.configure()
-	s.store.setFault(storeWorks)
+	s.store.SetFault(metadata.Works)
 	for _, h := range append(append([]*host(nil), s.balancers...), s.sidecars...) {
 		h.storeProxy.setFault(linkWorks)
 		h.storeProxy.reset()
--- a/internal/standin/soak/process.go
+++ b/internal/standin/soak/process.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"os/exec"
@@ -15,6 +16,15 @@
 // process a drain timeout of 6 s.
 const stopTimeout = time.Minute
 
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // host is a simulated host: one balancer or sidecar process and the proxy between it and the
 // store.
 type host struct {
--- a/internal/standin/soak/system.go
+++ b/internal/standin/soak/system.go
@@ -24,6 +24,7 @@
 	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/internal/flow/registration"
 	"github.com/orioledyke/orioledyke/internal/standin/fleet"
+	"github.com/orioledyke/orioledyke/internal/standin/metadata"
 )
 
 // Ports of every host.
@@ -88,7 +89,7 @@
 	config       Config
 	ctx          context.Context
 	cluster      *fleet.Cluster
-	store        *store
+	store        *metadata.Server
 	storeAddress netip.AddrPort
 	balancers    []*host
 	sidecars     []*host
@@ -111,7 +112,7 @@
 // New starts all processes. They are killed when ctx ends.
 func New(ctx context.Context, config Config) (*System, error) {
 	s := &System{
-		config: config, ctx: ctx, store: newStore(), inbox: make(chan func(), inboxLength), startedAt: time.Now(),
+		config: config, ctx: ctx, store: metadata.NewServer(), inbox: make(chan func(), inboxLength), startedAt: time.Now(),
 		httpClient: http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	context.AfterFunc(ctx, s.killAll)
@@ -119,7 +120,7 @@
 	if err != nil {
 		return nil, err
 	}
-	server := &http.Server{Handler: s.store.handler()}
+	server := &http.Server{Handler: s.store.Handler()}
 	context.AfterFunc(ctx, func() { _ = server.Close() })
 	go func() { _ = server.Serve(listener) }()
 	s.storeAddress = s.address(0, 1, storePort)
@@ -333,7 +334,7 @@
 		s.recordFailure("encoding the configuration: %v", err)
 		return
 	}
-	s.store.put("op/config", base64.StdEncoding.EncodeToString(document))
+	s.store.Update(func(state *metadata.Store) { state.Put("op/config", base64.StdEncoding.EncodeToString(document)) })
 }
 
 // callSidecar sends a request of an upstream to its sidecar in the background. If a response
