entry: Keep the own entry by conditional writes and leases of one epoch

What callers and operators would see: after a restore of the store, a process that stops takes the entry of another host out of the directory, and the record of a drain ends with another host, so that the next incarnation of the sidecar accepts flows for an upstream that leaves.

Cause: a process kept the bare number of its lease. A restore loses leases and gives their numbers out again, so that revoking, renewing and writing under the old number touch another host's lease. Also, writes were not conditional: one without a response, executed late, undid the record of a drain written since, and a starting sidecar could overwrite the record of the one before it.

Package entry now decides the calls. Each write and removal is conditional on the revision that a read has shown. A lease belongs to an epoch; after a restore it counts as the process's own only if the entry is found under it unchanged, which means that the copy had both. Then it is renewed, otherwise a new one is granted. The end of a process removes its own key instead of ending a lease, so that kv-lease-end is no longer used and its part of TestCalls is replaced by the conditional writes and removals.

TestLeavingKeepsEntryUnderReusedLease and TestDrainIsNotRecordedUnderReusedLease fail on the code before (the second host's entry is gone; the drain reads 0).

Ruled out: ending the lease under a condition, which the store does not offer; a new lease for each write, which takes 520 writes a second at 5,200 hosts. One renewal of a reused number remains possible before the process knows of the restore; it lengthens another's lease by at most a minute and ends nothing.

--- a/internal/flow/entry/entry.go
+++ b/internal/flow/entry/entry.go
@@ -97,8 +97,10 @@
 	item  Item
 	epoch store.Epoch
 	known bool
-	// lease is the process's own lease; its ID is 0 if there is none.
+	// lease is the process's own lease; its ID is 0 if there is none. held is set if the
+	// process has written the entry under it.
 	lease       store.Lease
+	held        bool
 	lastRenewal clock.Millis
 	// drainingUpstreamStart is what the entry has to hold.
 	drainingUpstreamStart int64
@@ -155,89 +157,63 @@
 // Ended records the result of a call.
 func (e *Entry) Ended(now clock.Millis, call Call, r Result) {
 	if r.Outcome == Unknown {
-		if call.Action == Write || call.Action == Remove {
-			e.Verify()
-		}
-		return
-	}
-	if call.Action == Read {
-		e.read(now, r)
 		return
 	}
-	if r.Epoch != e.epoch {
+	// A conflict also follows a write that was executed without a response.
+	if call.Action != Read && (r.Epoch != e.epoch || r.Outcome != Done) {
 		e.Verify()
 	}
+	if r.Outcome == NoLease {
+		e.dropLease(call.Lease)
+	}
+	if r.Outcome != Done {
+		return
+	}
 	switch call.Action {
+	case Read:
+		e.read(now, r)
 	case Grant:
-		e.lease, e.lastRenewal = store.Lease{Epoch: r.Epoch, ID: r.LeaseID}, now
+		e.lease, e.held, e.lastRenewal = store.Lease{Epoch: r.Epoch, ID: r.LeaseID}, false, now
 	case Write:
 		e.wrote(call, r)
 	case Renew:
-		e.renewed(now, call, r)
+		e.lastRenewal = now
 	case Remove:
-		if r.Outcome == Done {
-			e.item = Item{}
-		} else {
-			e.Verify()
-		}
+		e.item = Item{}
 	}
 }
 
 // read takes over what a read has shown, and drops the lease if it is not, or no longer, the
 // process's own.
 func (e *Entry) read(now clock.Millis, r Result) {
-	if r.Epoch < e.epoch {
-		return
-	}
-	written := e.lease.ID != 0 && e.item.Lease == e.lease.ID
+	underLease := e.lease.ID != 0 && r.Item.Lease == e.lease.ID
 	switch {
 	case r.Epoch == e.lease.Epoch:
-		if written && r.Item.Lease != e.lease.ID {
-			e.lease = store.Lease{}
-		}
-	case written && r.Item.Lease == e.lease.ID && r.Item.Revision == e.item.Revision:
+		e.held = underLease
+	case e.held && underLease && r.Item.Revision == e.item.Revision:
 		// The copy had the entry and therefore the lease, with the renewals of that time.
 		e.lease.Epoch, e.lastRenewal = r.Epoch, now-RenewInterval
 	default:
-		e.lease = store.Lease{}
+		e.dropLease(e.lease)
 	}
 	e.item, e.epoch, e.known = r.Item, r.Epoch, true
 	e.RecordDrain(r.Item.DrainingUpstreamStart)
 }
 
+// wrote takes over what a write has made of the entry. If the store was restored after the
+// lease was granted, the entry may be under the lease of another host.
 func (e *Entry) wrote(call Call, r Result) {
-	switch {
-	case r.Outcome == Conflict:
-		e.Verify()
-	case r.Outcome == NoLease || r.Epoch != call.Lease.Epoch:
-		// If the store has been restored meanwhile, the entry may be under the lease of
-		// another host.
-		e.dropLease(call.Lease)
-		if r.Outcome == Done {
-			e.Verify()
-		}
-	case e.item.Revision != call.Expected:
-		e.Verify()
-	default:
-		e.item = Item{Revision: r.Revision, Lease: call.Lease.ID, DrainingUpstreamStart: call.DrainingUpstreamStart}
-	}
-}
-
-func (e *Entry) renewed(now clock.Millis, call Call, r Result) {
-	switch {
-	case r.Outcome != Done:
+	if r.Epoch != call.Lease.Epoch {
 		e.dropLease(call.Lease)
-		e.Verify()
-	case r.Epoch != call.Lease.Epoch:
-		e.Verify()
-	default:
-		e.lastRenewal = now
+		return
 	}
+	e.item = Item{Revision: r.Revision, Lease: call.Lease.ID, DrainingUpstreamStart: call.DrainingUpstreamStart}
+	e.held = call.Lease == e.lease
 }
 
 // dropLease drops a lease unless another one has taken its place.
 func (e *Entry) dropLease(lease store.Lease) {
 	if e.lease == lease {
-		e.lease = store.Lease{}
+		e.lease, e.held = store.Lease{}, false
 	}
 }
--- a/internal/flow/node/directory.go
+++ b/internal/flow/node/directory.go
@@ -5,39 +5,42 @@
 	"errors"
 	"net/netip"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/flow/entry"
 	"github.com/orioledyke/orioledyke/platform"
 	"go.uber.org/zap"
 )
 
 const (
-	// entryTTL is how long the entry of a host remains in the store after its last
-	// renewal. An outdated entry costs other hosts only an occasional datagram.
-	entryTTL = 60 * clock.Second
 	// minDirectoryInterval is the shortest time between two reads of the directory by
 	// one process. The interval is at least directoryIntervalPerHost for each listed
 	// host, so that all hosts together read the directory at most ten times a second.
 	minDirectoryInterval                  = 10 * clock.Second
 	directoryIntervalPerHost clock.Millis = 100
-	// renewInterval is the time between two renewals of the process's own entry.
-	renewInterval = 20 * clock.Second
 	// directoryRetryInterval is the time after which a failed call is repeated.
 	directoryRetryInterval clock.Millis = 500
-	// recordDrainTimeout limits the call that records a drain in the store. The
-	// acknowledgement of the heartbeat waits for this call, and upstreams wait for the
+	// recordDrainTimeout limits the calls that record a drain in the store. The
+	// acknowledgement of the heartbeat waits for them, and upstreams wait for the
 	// acknowledgement for one second.
 	recordDrainTimeout clock.Millis = 400
 	// restoreDrainTimeout limits the call that reads a drain recorded before the start
 	// of this process. No new flow is accepted meanwhile, nor before the first
 	// heartbeat. Heartbeats come about every second.
 	restoreDrainTimeout clock.Millis = 400
-	// leaveTimeout limits the call that removes the process's own entry at its end.
+	// leaveTimeout limits the calls that remove the process's own entry at its end.
 	leaveTimeout clock.Millis = 200
+	// maxEntryCalls limits the calls of one attempt to bring the process's own entry up to
+	// date. After a restore of the store it takes a read, a grant and a write.
+	maxEntryCalls = 6
 )
 
+// errEntryUnsettled is returned if maxEntryCalls have not brought the entry up to date.
+var errEntryUnsettled = errors.New("own entry is not up to date after several calls")
+
 // directory keeps the process's own host in the store's list of hosts, by which
 // processes find each other when no seed responds.
 type directory struct {
@@ -48,12 +51,9 @@
 	self    netip.Addr
 	// wasRead is set when the list has been read at least once.
 	wasRead atomic.Bool
-	// lease is the lease of the process's own entry; 0 means that there is no entry.
-	lease atomic.Uint64
-	// drainingUpstreamStart is the start time of the upstream that drains on this host, in
-	// Unix milliseconds; 0 if none does.
-	drainingUpstreamStart atomic.Int64
-	lastRenewal           clock.Millis
+	// mutex guards own, the process's own entry. It is not held during calls.
+	mutex sync.Mutex
+	own   *entry.Entry
 	// wake ends the wait for the next step.
 	wake chan struct{}
 	// lastRead is the time of the last read of the directory, and interval is the time
@@ -64,7 +64,7 @@
 // newDirectory returns a directory that keeps the process's own host in the given list.
 func (b *base) newDirectory(list platform.HostListName, onHosts func(clock.Millis, platform.Hosts)) *directory {
 	return &directory{
-		base: b, list: list, onHosts: onHosts, self: b.settings.RelayAddress.Addr(), wake: make(chan struct{}, 1),
+		base: b, list: list, onHosts: onHosts, self: b.settings.RelayAddress.Addr(), own: entry.New(), wake: make(chan struct{}, 1),
 	}
 }
 
@@ -77,12 +77,12 @@
 	}
 }
 
-// serve reads the list and renews the process's own entry until ctx ends.
+// serve reads the list and keeps the process's own entry until ctx ends.
 func (d *directory) serve(ctx context.Context) error {
 	for ctx.Err() == nil {
 		wait := directoryRetryInterval
 		if err := d.step(ctx); err == nil {
-			wait = min(d.interval, renewInterval)
+			wait = min(d.interval, entry.RenewInterval)
 		} else if ctx.Err() == nil {
 			d.base.logger.Warn("directory-failed", zap.Error(err))
 		}
@@ -98,34 +98,22 @@
 	return nil
 }
 
-// step reads the list if its interval has passed, and adds or renews the process's own
-// entry if necessary.
+// step reads the list if its interval has passed, and brings the process's own entry up to
+// date.
 func (d *directory) step(ctx context.Context) error {
 	now := d.base.clock.Now()
-	lease := d.lease.Load()
-	missing := lease == 0
 	if now-d.lastRead >= d.interval {
 		listed, err := d.readHosts(ctx)
 		if err != nil {
 			return err
 		}
-		// If the entry is missing from the list, the store has ended the lease without
-		// notifying this process.
-		missing = missing || (!listed && now-d.lastRenewal > minDirectoryInterval/2)
-	}
-	if missing {
-		return d.add(ctx)
-	}
-	if now-d.lastRenewal < renewInterval {
-		return nil
-	}
-	if err := d.base.store.Renew(ctx, lease); errors.Is(err, platform.ErrNotFound) {
-		return d.add(ctx)
-	} else if err != nil {
-		return err
+		if !listed {
+			d.mutex.Lock()
+			d.own.Unlisted(now)
+			d.mutex.Unlock()
+		}
 	}
-	d.lastRenewal = now
-	return nil
+	return d.settle(ctx)
 }
 
 // readHosts reads the list. It reports whether the process's own host is in it.
@@ -144,36 +132,84 @@
 	return slices.Contains(hosts[d.list], d.self), nil
 }
 
-func (d *directory) add(ctx context.Context) error {
-	lease, err := d.base.store.Grant(ctx, entryTTL)
-	if err != nil {
-		return err
+// settle makes the calls that the process's own entry needs, until none is due or one
+// fails.
+func (d *directory) settle(ctx context.Context) error {
+	for range maxEntryCalls {
+		d.mutex.Lock()
+		call := d.own.Next(d.base.clock.Now())
+		d.mutex.Unlock()
+		if call.Action == entry.None {
+			return nil
+		}
+		if err := d.perform(ctx, call); err != nil {
+			return err
+		}
 	}
-	if err := d.base.store.AddHost(ctx, d.list, d.self, d.drainingUpstreamStart.Load(), lease); err != nil {
-		return err
+	return errEntryUnsettled
+}
+
+// perform makes a call for the process's own entry and records its result. It returns an
+// error if the outcome is unknown.
+func (d *directory) perform(ctx context.Context, call entry.Call) error {
+	result, err := d.call(ctx, call)
+	switch {
+	case err == nil:
+		result.Outcome = entry.Done
+	case errors.Is(err, platform.ErrConflict):
+		result.Outcome, err = entry.Conflict, nil
+	case errors.Is(err, platform.ErrNotFound):
+		result.Outcome, err = entry.NoLease, nil
+	case errors.Is(err, platform.ErrInvalidEntry):
+		// The entry is written again.
+		d.base.logger.Warn("directory-failed", zap.Error(err))
+		result.Outcome, err = entry.Done, nil
 	}
-	d.lease.Store(lease)
-	d.lastRenewal = d.base.clock.Now()
-	return nil
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.own.Ended(d.base.clock.Now(), call, result)
+	return err
+}
+
+// call makes a call for the process's own entry. The outcome of the result is not set.
+func (d *directory) call(ctx context.Context, call entry.Call) (r entry.Result, err error) {
+	store := d.base.store
+	switch call.Action {
+	case entry.Read:
+		r.Item, r.Epoch, err = store.HostEntry(ctx, d.list, d.self)
+	case entry.Grant:
+		lease, err := store.Grant(ctx, entry.TTL)
+		return entry.Result{Epoch: lease.Epoch, LeaseID: lease.ID}, err
+	case entry.Write:
+		revision, err := store.PutHost(ctx, d.list, d.self, call.DrainingUpstreamStart, call.Lease.ID, call.Expected)
+		return entry.Result{Epoch: revision.Epoch, Revision: revision.Number}, err
+	case entry.Renew:
+		r.Epoch, err = store.Renew(ctx, call.Lease.ID)
+	case entry.Remove:
+		r.Epoch, err = store.RemoveHost(ctx, d.list, d.self, call.Expected)
+	}
+	return r, err
+}
+
+// drainingUpstreamStart returns the start time, in Unix milliseconds, of the newest
+// upstream on this host that is known to drain; 0 if none is.
+func (d *directory) drainingUpstreamStart() int64 {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.own.DrainingUpstreamStart()
 }
 
 // recordDrain records in the process's own entry that the upstream with the given
 // start time in Unix milliseconds drains, for the next incarnation of this process. If
-// there is no entry or the store does not respond in time, the record becomes part of the
-// next entry that is added.
+// the store does not respond in time, serve writes the record later.
 func (d *directory) recordDrain(upstreamStart int64) {
-	d.drainingUpstreamStart.Store(upstreamStart)
-	lease := d.lease.Load()
-	if lease == 0 {
-		return
-	}
+	d.mutex.Lock()
+	d.own.RecordDrain(upstreamStart)
+	d.mutex.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), recordDrainTimeout.Duration())
 	defer cancel()
-	if err := d.base.store.AddHost(ctx, d.list, d.self, upstreamStart, lease); err != nil {
+	if err := d.settle(ctx); err != nil {
 		d.base.logger.Warn("directory-failed", zap.Error(err))
-		if errors.Is(err, platform.ErrNotFound) {
-			d.lease.Store(0)
-		}
 	}
 }
 
@@ -183,24 +219,20 @@
 func (d *directory) restoreDrain(ctx context.Context) int64 {
 	ctx, cancel := context.WithTimeout(ctx, restoreDrainTimeout.Duration())
 	defer cancel()
-	startedAt, err := d.base.store.DrainingUpstreamStart(ctx, d.list, d.self)
-	if err != nil {
+	if err := d.perform(ctx, entry.Call{Action: entry.Read}); err != nil {
 		d.base.logger.Warn("directory-failed", zap.Error(err))
-		return 0
 	}
-	d.drainingUpstreamStart.Store(startedAt)
-	return startedAt
+	return d.drainingUpstreamStart()
 }
 
 // leave removes the process's own entry. If that fails, the entry expires with its lease.
 func (d *directory) leave() {
-	lease := d.lease.Load()
-	if lease == 0 {
-		return
-	}
+	d.mutex.Lock()
+	d.own.Leave()
+	d.mutex.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout.Duration())
 	defer cancel()
-	if err := d.base.store.Revoke(ctx, lease); err != nil {
+	if err := d.settle(ctx); err != nil {
 		d.base.logger.Warn("directory-failed", zap.Error(err))
 	}
 }
--- a/internal/flow/node/sidecar.go
+++ b/internal/flow/node/sidecar.go
@@ -193,7 +193,7 @@
 // process unless the store does not respond in time.
 func (n *sidecarNode) heartbeat(h registration.Heartbeat) registration.Result {
 	result := n.applyHeartbeat(h)
-	if result == registration.Applied && h.Draining && n.directory.drainingUpstreamStart.Load() != h.StartedAt {
+	if result == registration.Applied && h.Draining && n.directory.drainingUpstreamStart() < h.StartedAt {
 		n.directory.recordDrain(h.StartedAt)
 	}
 	return result
