node: Find a recorded drain also after an outage at the start

A sidecar that starts while the store is away, as in a drill, took its upstream for one that does not drain and kept that belief: a late heartbeat of before the drain then opened the upstream for new flows again. Now the first read of the entry that succeeds gives the drain to the registration, which refuses new flows from then on.

TestDrainIsFoundAfterOutageAtStart fails before: no read after the start looks for a drain, and the new entry even overwrites the record with none.

Ruled out: no new flow before the store has answered. Upstreams that do not drain would serve nobody for as long as the store is away.

--- a/internal/flow/node/directory.go
+++ b/internal/flow/node/directory.go
@@ -49,6 +49,9 @@
 	// onHosts is called with the list after each read, with the mutex of base locked.
 	onHosts func(now clock.Millis, hosts platform.Hosts)
 	self    netip.Addr
+	// onDrain is called with the start time of a draining upstream that a read of the entry
+	// has found; nil for a process without an upstream.
+	onDrain func(upstreamStart int64)
 	// wasRead is set when the list has been read at least once.
 	wasRead atomic.Bool
 	// mutex guards own, the process's own entry. It is not held during calls.
@@ -166,8 +169,13 @@
 		result.Outcome, err = entry.Done, nil
 	}
 	d.mutex.Lock()
-	defer d.mutex.Unlock()
+	known := d.own.DrainingUpstreamStart()
 	d.own.Ended(d.base.clock.Now(), call, result)
+	found := d.own.DrainingUpstreamStart()
+	d.mutex.Unlock()
+	if found > known && d.onDrain != nil {
+		d.onDrain(found)
+	}
 	return err
 }
 
@@ -213,16 +221,14 @@
 	}
 }
 
-// restoreDrain returns the start time, in Unix milliseconds, of the upstream that drains
-// on this host, as an earlier incarnation of this process has recorded it. It returns 0 if
-// no drain is recorded or the store does not respond in time.
-func (d *directory) restoreDrain(ctx context.Context) int64 {
+// restoreDrain reads whether an earlier incarnation of this process has recorded a drain.
+// If the store does not respond in time, serve finds the record later.
+func (d *directory) restoreDrain(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, restoreDrainTimeout.Duration())
 	defer cancel()
 	if err := d.perform(ctx, entry.Call{Action: entry.Read}); err != nil {
 		d.base.logger.Warn("directory-failed", zap.Error(err))
 	}
-	return d.drainingUpstreamStart()
 }
 
 // leave removes the process's own entry. If that fails, the entry expires with its lease.
--- a/internal/flow/node/directory_test.go
+++ b/internal/flow/node/directory_test.go
@@ -57,6 +57,13 @@
 	d.server.Update(func(state *metadata.Store) { state.Restore(from) })
 }
 
+// recordedDrain returns the drain that a process finds that has just started on a host.
+func (d *directoryTest) recordedDrain(host string) int64 {
+	restarted := d.directory(host)
+	restarted.restoreDrain(context.Background())
+	return restarted.drainingUpstreamStart()
+}
+
 func (d *directoryTest) exists(key string) (exists bool) {
 	d.server.Update(func(state *metadata.Store) { _, exists = state.Get(key) })
 	return exists
@@ -86,5 +93,23 @@
 	d.first.recordDrain(123)
 	d.second.leave()
 	d.server.Update(func(state *metadata.Store) { state.EndLease(1) })
-	d.c.Assert(d.directory("127.4.0.1").restoreDrain(ctx), qt.Equals, int64(123))
+	d.c.Assert(d.recordedDrain("127.4.0.1"), qt.Equals, int64(123))
+}
+
+// Guards against an upstream that gets new flows although an earlier incarnation of the
+// sidecar has recorded its drain, because the store was away when the sidecar started.
+func TestDrainIsFoundAfterOutageAtStart(t *testing.T) {
+	d := newDirectoryTest(t)
+	ctx := context.Background()
+	d.c.Assert(d.first.step(ctx), qt.IsNil)
+	d.first.recordDrain(123)
+	restarted := d.directory("127.4.0.1")
+	var found []int64
+	restarted.onDrain = func(upstreamStart int64) { found = append(found, upstreamStart) }
+	d.server.SetFault(metadata.Unavailable)
+	restarted.restoreDrain(ctx)
+	d.c.Assert(found, qt.HasLen, 0)
+	d.server.SetFault(metadata.Works)
+	d.c.Assert(restarted.step(ctx), qt.IsNil)
+	d.c.Assert(found, qt.DeepEquals, []int64{123})
 }
--- a/internal/flow/node/sidecar.go
+++ b/internal/flow/node/sidecar.go
@@ -69,7 +69,8 @@
 	// upstreamID is the ID of that upstream, or "" before the first heartbeat.
 	upstreamID string
 	// drainRestored is set when the store has been read for a drain that the upstream
-	// began before the start of this process, also if the read has failed or timed out.
+	// began before the start of this process, also if the read has failed or timed out. The
+	// upstream then gets new flows until a later read finds its drain.
 	drainRestored bool
 	// departed is set at the end of this process if the upstream has ended before it. absent
 	// is set while no upstream has registered with this process and its port is closed.
@@ -104,6 +105,7 @@
 	n.machine.SetService(platform.ServiceID(s.Service))
 	n.machine.SetLearning(true)
 	n.directory = b.newDirectory(platform.Sidecars, n.addBalancers)
+	n.directory.onDrain = n.restoreDrain
 	n.registerMetrics()
 	if err := n.start(); err != nil {
 		return err
@@ -119,11 +121,10 @@
 	n.tree.Add("directory", n.directory.serve)
 	n.tree.Add("presence", n.watchPresence)
 	n.tree.Add("restore", func(ctx context.Context) error {
-		startedAt := n.directory.restoreDrain(ctx)
+		n.directory.restoreDrain(ctx)
 		n.mutex.Lock()
 		defer n.mutex.Unlock()
 		n.drainRestored = true
-		n.registration.RestoreDrain(startedAt)
 		n.applyRegistration(n.clock.Now())
 		return nil
 	})
@@ -199,6 +200,15 @@
 	return result
 }
 
+// restoreDrain refuses new flows for the upstream with the given start time in Unix
+// milliseconds and for older ones, as an earlier incarnation of this process has recorded.
+func (n *sidecarNode) restoreDrain(upstreamStart int64) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.registration.RestoreDrain(upstreamStart)
+	n.applyRegistration(n.clock.Now())
+}
+
 func (n *sidecarNode) applyHeartbeat(h registration.Heartbeat) registration.Result {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
