node: End watches from before a restore of the store

Callers of a balancer that learns last would see an older version for up to 20 s. A watch that was sent, or is sent, with a revision of the earlier epoch may be accepted by the restored store, and its response, which tells the epoch, comes only after its wait. Peers cover that only once one of them has the new version.

Any response of the store, such as that of the directory, tells the epoch. If it is later than that of the revision of the watch, the watch ends and the configuration is read again at once, without the backoff of a failed call.

TestRestoreEndsWatch fails before: the watch lasts its 20 s and reports no change.

--- a/internal/flow/configuration/follower.go
+++ b/internal/flow/configuration/follower.go
@@ -34,6 +34,10 @@
 // no longer has.
 var ErrCompacted = errors.New("configuration: history is no longer available")
 
+// ErrRestored is the error of a watch whose revision belongs to an earlier epoch of the
+// store.
+var ErrRestored = errors.New("configuration: store was restored from an older copy")
+
 // errHistoryLost is the error of a watch that again cannot continue from what has just
 // been read.
 var errHistoryLost = errors.New("configuration: history was lost again after a read")
@@ -141,7 +145,10 @@
 		return nil
 	}
 	document, changed, err := f.config.Watch(ctx, f.revision, f.config.WatchTimeout())
-	if errors.Is(err, ErrCompacted) || (err == nil && document.Revision.Epoch != f.revision.Epoch) {
+	if err == nil && document.Revision.Epoch != f.revision.Epoch {
+		err = ErrRestored
+	}
+	if errors.Is(err, ErrCompacted) || errors.Is(err, ErrRestored) {
 		return f.loseHistory()
 	}
 	if err != nil {
--- a/internal/flow/node/balancer.go
+++ b/internal/flow/node/balancer.go
@@ -13,6 +13,7 @@
 	"github.com/orioledyke/orioledyke/internal/flow/peerset"
 	"github.com/orioledyke/orioledyke/internal/flow/relay"
 	"github.com/orioledyke/orioledyke/internal/flow/segment"
+	"github.com/orioledyke/orioledyke/internal/flow/store"
 	"github.com/orioledyke/orioledyke/platform"
 	"go.uber.org/zap"
 )
@@ -44,7 +45,9 @@
 	versions *configuration.Peers
 	fetchDue chan struct{}
 	// cancelWatch ends the watch of the configuration that began last; nil before the first.
+	// watchEpoch is the epoch of the revision after which it watches.
 	cancelWatch context.CancelCauseFunc
+	watchEpoch  store.Epoch
 	// behindLogged is set from the line of logBehind until the next version is in effect.
 	behindLogged bool
 	digests      *digests
@@ -79,6 +82,7 @@
 		Observe:     n.observe,
 	})
 	n.digests = &digests{node: n}
+	n.storeRestored = n.endOutdatedWatch
 	n.directory = b.newDirectory(platform.Balancers, n.addHosts)
 	n.registerMetrics()
 	if err := n.start(); err != nil {
--- a/internal/flow/node/configuration.go
+++ b/internal/flow/node/configuration.go
@@ -83,12 +83,14 @@
 	return document, err
 }
 
-// watchConfiguration watches the configuration until endOverdueWatch ends it.
+// watchConfiguration watches the configuration until endOverdueWatch or endOutdatedWatch
+// ends it.
 func (n *balancerNode) watchConfiguration(ctx context.Context, after store.Revision, wait clock.Millis) (configuration.Document, bool, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	n.mutex.Lock()
-	n.cancelWatch = cancel
+	n.cancelWatch, n.watchEpoch = cancel, after.Epoch
+	n.endOutdatedWatch()
 	n.mutex.Unlock()
 	document, changed, err := n.store.WatchConfiguration(ctx, after, wait)
 	if err == nil {
@@ -105,6 +107,14 @@
 	}
 }
 
+// endOutdatedWatch ends a watch from a revision of an earlier epoch. The store may accept
+// it, and then does not deliver what was changed before that revision of its new history.
+func (n *balancerNode) endOutdatedWatch() {
+	if n.cancelWatch != nil && n.watchEpoch < n.storeEpoch {
+		n.cancelWatch(configuration.ErrRestored)
+	}
+}
+
 func (n *balancerNode) recordStoreResponse() {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
--- a/internal/flow/node/configuration_test.go
+++ b/internal/flow/node/configuration_test.go
@@ -15,6 +15,7 @@
 	"github.com/orioledyke/orioledyke/internal/flow/balancer"
 	"github.com/orioledyke/orioledyke/internal/flow/configuration"
 	"github.com/orioledyke/orioledyke/internal/flow/store"
+	"github.com/orioledyke/orioledyke/internal/standin/metadata"
 	"github.com/orioledyke/orioledyke/platform"
 	"go.uber.org/zap"
 )
@@ -49,6 +50,45 @@
 	r.c.Assert(<-ended, qt.ErrorIs, errWatchOverdue)
 }
 
+// Guards against a watch that goes on for 20 s from a revision that the store, restored
+// meanwhile, has given to another change.
+func TestRestoreEndsWatch(t *testing.T) {
+	r := newDigestRecorder(t)
+	n := r.node
+	n.logger, n.versions = zap.NewNop(), configuration.NewPeers()
+	n.storeRestored = n.endOutdatedWatch
+	var older *metadata.Store
+	model := metadata.NewServer()
+	model.Update(func(state *metadata.Store) { older = state.Copy(); state.Put("op/config", "") })
+	watching := make(chan struct{}, 2)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		if strings.HasSuffix(request.URL.Path, "kv-watch") {
+			watching <- struct{}{}
+		}
+		model.Handler().ServeHTTP(w, request)
+	}))
+	r.c.Cleanup(func() { server.CloseClientConnections(); server.Close() })
+	n.store = platform.NewStore(netip.MustParseAddrPort(server.Listener.Addr().String()), n.observeStoreEpoch)
+	document, err := n.readConfiguration(context.Background())
+	r.c.Assert(err, qt.IsNil)
+	ended := make(chan error, 1)
+	watch := func() {
+		_, _, err := n.watchConfiguration(context.Background(), document.Revision, configuration.FollowerWatch)
+		ended <- err
+	}
+	go watch()
+	<-watching
+	model.Update(func(state *metadata.Store) {
+		state.Restore(older)
+		state.Put("op/config", "")
+	})
+	_, err = n.store.ListHosts(context.Background())
+	r.c.Assert(err, qt.IsNil)
+	r.c.Assert(<-ended, qt.ErrorIs, configuration.ErrRestored)
+	watch()
+	r.c.Assert(<-ended, qt.ErrorIs, configuration.ErrRestored)
+}
+
 // Guards against an older or invalid configuration that replaces the one in effect, and
 // against an added route that is not served, whatever the source.
 func TestNoSourceReverts(t *testing.T) {
--- a/internal/flow/node/directory_test.go
+++ b/internal/flow/node/directory_test.go
@@ -41,7 +41,7 @@
 func (d *directoryTest) directory(host string) *directory {
 	b := &base{
 		settings: settings.FlowProcess{RelayAddress: netip.AddrPortFrom(netip.MustParseAddr(host), 7000)},
-		clock:    d.time.Clock(), logger: zap.NewNop(),
+		clock:    d.time.Clock(), logger: zap.NewNop(), storeRestored: func() {},
 	}
 	b.store = platform.NewStore(d.address, b.observeStoreEpoch)
 	return b.newDirectory(platform.Sidecars, func(clock.Millis, platform.Hosts) {})
--- a/internal/flow/node/epoch.go
+++ b/internal/flow/node/epoch.go
@@ -5,8 +5,8 @@
 	"go.uber.org/zap"
 )
 
-// observeStoreEpoch records the epoch that a response of the store states, and logs that
-// the store has been restored. A response from before a restore may arrive after later
+// observeStoreEpoch records the epoch that a response of the store states, and calls
+// storeRestored if it has risen. A response from before a restore may arrive after later
 // ones and is ignored.
 func (b *base) observeStoreEpoch(epoch store.Epoch) {
 	b.mutex.Lock()
@@ -21,4 +21,5 @@
 	}
 	b.storeRestores++
 	b.logger.Warn("store-restored", zap.Uint64("epoch", uint64(epoch)), zap.Uint64("before", uint64(before)))
+	b.storeRestored()
 }
--- a/internal/flow/node/epoch_test.go
+++ b/internal/flow/node/epoch_test.go
@@ -14,7 +14,7 @@
 func TestRestoreIsLoggedOnce(t *testing.T) {
 	c := qt.New(t)
 	core, logs := observer.New(zap.WarnLevel)
-	b := &base{logger: zap.New(core)}
+	b := &base{logger: zap.New(core), storeRestored: func() {}}
 	for _, epoch := range []store.Epoch{3, 3, 5, 3, 5} {
 		b.observeStoreEpoch(epoch)
 	}
--- a/internal/flow/node/node.go
+++ b/internal/flow/node/node.go
@@ -79,6 +79,8 @@
 	// number of times that it has risen.
 	storeEpoch    store.Epoch
 	storeRestores uint64
+	// storeRestored is called, with the mutex locked, when the store's epoch has risen.
+	storeRestored func()
 	// fieldBuffer holds the fields of the last log line about a flow. Its memory is
 	// reused for the next one.
 	fieldBuffer []zap.Field
--- a/internal/flow/node/sidecar.go
+++ b/internal/flow/node/sidecar.go
@@ -106,6 +106,7 @@
 	n.machine.SetLearning(true)
 	n.directory = b.newDirectory(platform.Sidecars, n.addBalancers)
 	n.directory.onDrain = n.restoreDrain
+	n.storeRestored = func() {}
 	n.registerMetrics()
 	if err := n.start(); err != nil {
 		return err
