configuration: Fetch a newer version than the first one at once

A balancer that starts just after a restore of the store reads the older configuration of the copy and served it for 250 to 750 ms after a peer had told it of a newer one: the delay that the store usually needs to deliver a version applied, and a fetch began only with the next round of digests. Callers would see a dropped route come back, or an added one missing.

During the first second with a version from the store, a newer one of a peer is fetched at once, when its digest arrives. TestOlderFirstVersionIsReplacedAtOnce fails before. Processes that have run longer wait for the store as before.

Ruled out: no service until a peer has confirmed the version, because the last balancer that runs has no peer.

--- a/internal/flow/configuration/peers.go
+++ b/internal/flow/configuration/peers.go
@@ -10,6 +10,10 @@
 	// fetchDelay is how long the store may take to deliver a version that a peer has,
 	// before the version is fetched from a peer.
 	fetchDelay clock.Millis = 250
+	// startGrace is how long after its start a process does not wait for the store if a peer
+	// has a newer version. A store that has been restored from an older copy may lack it,
+	// and the peers report theirs within this time.
+	startGrace = clock.Second
 	// failedPeerDelay is how long a peer that has not delivered what it reported is asked
 	// only if no other peer has a newer version.
 	failedPeerDelay = 2 * clock.Second
@@ -25,6 +29,9 @@
 type Peers struct {
 	// current is the version in effect.
 	current uint64
+	// unconfirmedUntil is the end of startGrace after the store has delivered the first
+	// version of this process. It is 0 before, and after the next version.
+	unconfirmedUntil clock.Millis
 	// reports holds the peers with a newer version.
 	reports map[netip.Addr]report
 	// behindSince is the time since which a peer has had a newer version while the version
@@ -84,6 +91,10 @@
 	if fromPeer && !p.overtaken {
 		p.overtaken, p.overtakenAt = true, now
 	}
+	p.unconfirmedUntil = 0
+	if p.current == 0 && !fromPeer {
+		p.unconfirmedUntil = now + startGrace
+	}
 	p.current = version
 	for peer, known := range p.reports {
 		if known.version <= version {
@@ -110,10 +121,11 @@
 }
 
 // Next returns the fetch that is due, or false if none is. Without a configuration a fetch
-// is due at once. Further versions do not defer it, because a series of them may last
-// longer than a version may take.
+// is due at once, and also during startGrace. Further versions do not defer a fetch, because
+// a series of them may last longer than a version may take.
 func (p *Peers) Next(now clock.Millis) (Fetch, bool) {
-	if len(p.reports) == 0 || (p.current > 0 && now-p.behindSince < fetchDelay) {
+	delayed := p.current > 0 && now >= p.unconfirmedUntil
+	if len(p.reports) == 0 || (delayed && now-p.behindSince < fetchDelay) {
 		return Fetch{}, false
 	}
 	var best netip.Addr
--- a/internal/flow/configuration/peers_test.go
+++ b/internal/flow/configuration/peers_test.go
@@ -127,6 +127,23 @@
 	c.Assert(due, qt.IsFalse)
 }
 
+// Guards against a process that starts with the older version of a restored store and serves
+// it, although its peers have told it of a newer one.
+func TestOlderFirstVersionIsReplacedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	p := configuration.NewPeers()
+	p.Applied(0, 9, false)
+	p.Report(10, peerAddress(0), 12)
+	fetch, due := p.Next(10)
+	c.Assert(due, qt.IsTrue)
+	c.Assert(fetch, qt.Equals, configuration.Fetch{Peer: peerAddress(0), Version: 12})
+	p.Applied(15, 12, true)
+	p.Ended(15, fetch)
+	p.Report(20, peerAddress(0), 13)
+	_, due = p.Next(20)
+	c.Assert(due, qt.IsFalse)
+}
+
 // Guards against a fetch from a peer that has started anew with an older version.
 func TestOlderReportReplacesNewer(t *testing.T) {
 	c := qt.New(t)
--- a/internal/flow/node/digest.go
+++ b/internal/flow/node/digest.go
@@ -77,9 +77,7 @@
 	}
 	n.addHosts(now, platform.Hosts{platform.Balancers: d.Balancers, platform.Sidecars: d.Sidecars})
 	n.versions.Report(now, from, d.Version)
-	if n.machine.Table() == nil {
-		n.requestFetch(now)
-	}
+	n.requestFetch(now)
 }
 
 // addHosts adds listed hosts to the peer sets, and sends a digest to those that are new.
