soak: Restore the store from older copies

The soak's store knew no epoch, so that no real process ever met a restore. A fault now restores the store from a copy of up to 15 s before, at once or after an outage of up to 2 s; the operator writes the configuration again up to a second later. At the end of a run, each running host must have its entry in the directory.

--- a/internal/standin/soak/faults.go
+++ b/internal/standin/soak/faults.go
@@ -22,7 +22,7 @@
 	sc := s.sidecars[u]
 	pauseEnd := s.now() + clock.Millis(300+cluster.RandomInt(3000))
 	mayDrain := cluster.ServingUpstreams(cluster.Service(u)) > minServing && !sc.retired
-	switch cluster.RandomInt(17) {
+	switch cluster.RandomInt(18) {
 	case 0:
 		b.kill()
 		return "kill " + b.name
@@ -88,6 +88,8 @@
 	case 15:
 		s.startStorm()
 		return "storm of configurations"
+	case 16:
+		return s.restoreStore()
 	default:
 		if mayDrain && cluster.RandomInt(2) == 0 {
 			return s.reuseAddress(u)
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -45,8 +45,9 @@
 // TestSoak guards against real processes that break a rule under faults from outside: a
 // flow that opens at another service or long after a drain, a reset of an open flow, a
 // response to another request, a second execution of a request that must not be repeated,
-// a configuration that reverts or reaches some balancers late, and a process that ends
-// unexpectedly or does not end after SIGTERM.
+// a configuration that reverts or reaches some balancers late, a host whose entry is missing
+// in the directory 16 s after the last fault, and a process that ends unexpectedly or does
+// not end after SIGTERM.
 func TestSoak(t *testing.T) {
 	for n := *seed; n < *seed+uint64(*seeds); n++ {
 		t.Run(fmt.Sprint(n), func(t *testing.T) { runSoak(t, n) })
@@ -81,6 +82,7 @@
 	served, unserved := s.cluster.Served(), s.cluster.Unserved()
 	s.openFlows(3)
 	s.Run(5 * clock.Second)
+	s.checkDirectory()
 	s.Stop()
 	t.Logf("served %d, unserved %d; after the last fault served %d, unserved %d", served, unserved,
 		s.cluster.Served()-served, s.cluster.Unserved()-unserved)
--- a/internal/standin/soak/system.go
+++ b/internal/standin/soak/system.go
@@ -100,8 +100,13 @@
 	// inbox holds functions that wait for the goroutine that calls Run.
 	inbox     chan func()
 	startedAt time.Time
-	// version is that of the current configuration.
-	version uint64
+	// version is that of the current configuration, and configuration is its document in
+	// base64.
+	version       uint64
+	configuration string
+	// copies are older copies of the store, the newest last.
+	copies   []*metadata.Store
+	lastCopy clock.Millis
 	// versions holds what each balancer has reported, if Config.CheckVersions is set.
 	versions   []versionHistory
 	lastProbe  clock.Millis
@@ -334,7 +339,13 @@
 		s.recordFailure("encoding the configuration: %v", err)
 		return
 	}
-	s.store.Update(func(state *metadata.Store) { state.Put("op/config", base64.StdEncoding.EncodeToString(document)) })
+	s.configuration = base64.StdEncoding.EncodeToString(document)
+	s.writeConfiguration()
+}
+
+// writeConfiguration writes the newest configuration to the store.
+func (s *System) writeConfiguration() {
+	s.store.Update(func(state *metadata.Store) { state.Put("op/config", s.configuration) })
 }
 
 // callSidecar sends a request of an upstream to its sidecar in the background. If a response
@@ -420,6 +431,7 @@
 		if work != nil {
 			work()
 		}
+		s.keepCopy(now)
 		if now-s.lastProbe >= probeInterval {
 			s.lastProbe = now
 			s.probe()
