platform: Identify the changes in the change log

A contract that an operator has changed would not be in force until its next change. The watch of contracts reads those that the change log names after a sequence. When the platform's store is restored from an older copy and its new index and sequence have passed the old ones before the next call, the changes up to the old sequence are never read. A lower index was handled; a passed one looks like ordinary changes.

The log now holds the beginning of each change's identifier. The watch goes on from a change only if the log still has that change at its sequence, otherwise it reads all contracts. Older writers leave the identifiers out, which costs a read of all contracts for each change.

TestChangeBehindReusedSequenceIsDelivered fails before ("missed" is not delivered). The stand-in can restore a copy of its keys and sessions.

--- a/internal/control/platform/watch.go
+++ b/internal/control/platform/watch.go
@@ -19,8 +19,8 @@
 	// after which the next poll continues. With 0, the next poll reads all
 	// contracts.
 	index uint64
-	// sequence is that of the change log in the last response.
-	sequence uint64
+	// position is that of the newest change in the last response.
+	position logPosition
 }
 
 // WatchContracts delivers every document, including tombstones, and then each
@@ -68,7 +68,7 @@
 	if err != nil {
 		w.client.config.Report(err)
 	}
-	customers, ok := log.since(w.sequence)
+	customers, ok := log.since(w.position)
 	// A lower index means that the platform's store was restored or replaced.
 	if w.index == 0 || index < w.index || !ok {
 		err = w.readAll(ctx)
@@ -79,7 +79,7 @@
 		return err
 	}
 	w.index = index
-	w.sequence = log.Sequence
+	w.position = log.last()
 	return nil
 }
 
--- a/internal/control/platform/watch_test.go
+++ b/internal/control/platform/watch_test.go
@@ -79,6 +79,50 @@
 	c.Assert(<-done, qt.ErrorIs, context.Canceled)
 }
 
+// Guards against a change that is never delivered because the platform was restored from an
+// older copy between two calls, and its new index and change log have passed the old ones.
+func TestChangeBehindReusedSequenceIsDelivered(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	server := newStandin(stoppedClock, nil)
+	operator := newClient("a", serve(server))
+	put := func(customer string, port uint16) {
+		_, err := operator.PutContract(ctx, newContract(customer, port), nil)
+		c.Assert(err, qt.IsNil)
+	}
+	put("presa-digital", 4443)
+	restore := server.Copy()
+	put("lost", 4444)
+	watches, proceed := make(chan struct{}), make(chan struct{})
+	config := testConfig(roundTrip(func(r *http.Request) (*http.Response, error) {
+		if r.URL.Query().Has("index") {
+			watches <- struct{}{}
+			<-proceed
+		}
+		return serve(server)(r)
+	}))
+	delivered := make(chan string, 8)
+	done := make(chan error)
+	go func() {
+		done <- platform.New(config).WatchContracts(ctx, func(d contract.Document) { delivered <- d.Customer() })
+	}()
+	<-watches
+	restore()
+	put("missed", 4445)
+	put("seen", 4446)
+	proceed <- struct{}{}
+	<-watches
+	cancel()
+	proceed <- struct{}{}
+	c.Assert(<-done, qt.ErrorIs, context.Canceled)
+	close(delivered)
+	var customers []string
+	for customer := range delivered {
+		customers = append(customers, customer)
+	}
+	c.Assert(customers, qt.DeepEquals, []string{"lost", "presa-digital", "missed", "seen"})
+}
+
 // TestRegisterSeed guards against a seed that is not registered again after an
 // expired session, an outage or a pause of its holder, and against one that
 // remains after a shutdown.
--- a/internal/control/platform/write.go
+++ b/internal/control/platform/write.go
@@ -226,7 +226,7 @@
 	if err != nil {
 		return nil, err
 	}
-	log, err := held.log.with(ch.customer).encode()
+	log, err := held.log.with(ch.customer, ch.id).encode()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/standin/platform/faults.go
+++ b/internal/standin/platform/faults.go
@@ -48,6 +48,20 @@
 	s.notify()
 }
 
+// Copy returns a function that restores the keys and sessions of now. What was written
+// since is then lost, and its indexes are given out again. Blocking queries go on.
+func (s *Server) Copy() (restore func()) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	older := s.store.copy()
+	return func() {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		*s.store = *older.copy()
+		s.notify()
+	}
+}
+
 // adminRoutes registers GET and PUT /admin/switches, PUT /admin/expire-leases and
 // GET /admin/counts. Faults, rate limits and the token do not apply to them.
 func (s *Server) adminRoutes(mux *http.ServeMux) {
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -57,6 +57,17 @@
 	}
 }
 
+// copy returns a copy of the state, which later changes of either one do not affect.
+func (s *store) copy() *store {
+	c := *s
+	c.entries, c.deletedAt, c.sessions = maps.Clone(s.entries), maps.Clone(s.deletedAt), map[string]*session{}
+	for id, sess := range s.sessions {
+		copied := *sess
+		c.sessions[id] = &copied
+	}
+	return &c
+}
+
 // list returns the entries whose keys have a prefix, in key order, and the index of
 // the last change of such a key.
 func (s *store) list(prefix string) ([]entry, uint64) {
