node: Learn flows unless the upstream's first heartbeat arrives

Callers saw resets of open flows. A sidecar that is killed right after its upstream has registered starts anew, gets the upstream's second heartbeat first and took the upstream for one that had just started and holds no flows: it accepted heartbeats up to the second as such a sign, because the first may be lost at the start of a system. It then told balancers that it does not hold the flows, whose search found no owner, and their clients were reset.

Only the first heartbeat of all shows that no earlier incarnation can have opened flows.

--- a/internal/flow/node/sidecar.go
+++ b/internal/flow/node/sidecar.go
@@ -28,10 +28,10 @@
 	// contactInterval is the time between two reports to hosts on which a balancer may
 	// run, but from which no recent message has arrived.
 	contactInterval = clock.Second
-	// If the first heartbeat received has at most the sequence number
-	// maxInitialSequence, the upstream started together with this process. It then
-	// holds no flow that this process has not seen.
-	maxInitialSequence = 2
+	// initialSequence is the sequence number of an upstream's first heartbeat. If this process
+	// receives it, the upstream has not registered with an earlier incarnation of the sidecar
+	// and holds no flow that this process has not seen.
+	initialSequence = 1
 	// maxMissedHeartbeats is how many heartbeats may be missing before the upstream
 	// gets no new flows. Heartbeats come from the same host, so few are lost.
 	maxMissedHeartbeats = 3
@@ -241,7 +241,7 @@
 		n.machine.DropFlows()
 		n.learnUntil = n.clock.Now() + clock.FromDuration(n.settings.FlowLifetime)
 	}
-	if first && h.Sequence <= maxInitialSequence {
+	if first && h.Sequence <= initialSequence {
 		n.machine.SetLearning(false)
 	}
 	n.upstreamID, n.upstreamStartedAt = h.ID, h.StartedAt
