platform: Raise changes whose revision was given out before a restore

After a restore of the platform, an operator's change was acknowledged and then ignored by all processes until its customer's revision had passed the one in effect: revisions count up from what the copy holds, and processes apply only higher ones. TestWatchContracts shows it: three changes were needed for the first to take effect.

The change log names each change since the previous commit. A reader that finds a document named by a change that came after the last one it knows, but with a revision that is not above the one in effect, writes it again with the next revision, on the condition that it is still the stored one. Documents of the copy itself, which later ones had replaced, are not raised, so that no contract reverts. Readers race harmlessly. An operator who changes the same contract in that moment gets a conflict, and nothing is written.

Not covered: more than eight changes between the restore and the reader's next call, and a reader that takes over after the change; both wait until the next change of the customer.

Ruled out: revisions from clocks, because operators' clocks jump; a field in the documents, because older builds refuse unknown fields.

--- a/internal/balancer/node/reader.go
+++ b/internal/balancer/node/reader.go
@@ -7,6 +7,7 @@
 
 	"github.com/orioledyke/orioledyke/internal/control/contract"
 	"github.com/orioledyke/orioledyke/internal/control/peer"
+	"github.com/orioledyke/orioledyke/internal/control/platform"
 	"go.uber.org/zap"
 )
 
@@ -74,7 +75,9 @@
 		return
 	}
 	// The only possible error is that ctx has ended.
-	_ = r.node.platform.WatchContracts(ctx, func(d contract.Document) { r.publish(p, d) })
+	_ = r.node.platform.WatchContracts(ctx, platform.ContractWatch{
+		Held: r.node.state.document, Deliver: func(d contract.Document) { r.publish(p, d) },
+	})
 }
 
 // readAll publishes all contracts. It retries until the platform responds, and returns
--- a/internal/balancer/node/state.go
+++ b/internal/balancer/node/state.go
@@ -68,6 +68,14 @@
 	return s.inEffect[customer]
 }
 
+// document returns the document of a customer that was applied last, and false if there
+// is none.
+func (s *state) document(customer string) (contract.Document, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.contracts.Document(customer)
+}
+
 // openServices opens the service addresses of all contracts in effect. If a port cannot
 // be opened, this balancer is not ready, so that the fabric sends to other balancers.
 // The caller must hold the mutex.
--- a/internal/control/contract/document.go
+++ b/internal/control/contract/document.go
@@ -104,6 +104,12 @@
 // ChangeID returns the identifier of the change that wrote the document.
 func (d Document) ChangeID() string { return d.stored.ChangeID }
 
+// WithRevision returns a copy of d with another revision.
+func (d Document) WithRevision(revision uint64) Document {
+	d.stored.Revision = revision
+	return d
+}
+
 // Deleted reports whether the document is a tombstone.
 func (d Document) Deleted() bool { return d.stored.Deleted }
 
--- a/internal/control/platform/calls_test.go
+++ b/internal/control/platform/calls_test.go
@@ -40,7 +40,9 @@
 	var readers sync.WaitGroup
 	for i := range 2 * dataCentres {
 		client := platform.New(platform.Config{Address: listener.URL})
-		readers.Go(func() { _ = client.WatchContracts(ctx, func(contract.Document) {}) })
+		readers.Go(func() {
+			_ = client.WatchContracts(ctx, platform.ContractWatch{Held: nothingHeld, Deliver: func(contract.Document) {}})
+		})
 		readers.Go(func() {
 			address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(i+1))
 			_ = client.RegisterSeed(ctx, fmt.Sprint("dc-", i/2), identity.OwnerID(i+1), address)
--- a/internal/control/platform/changelog.go
+++ b/internal/control/platform/changelog.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 )
 
 const (
@@ -90,3 +91,14 @@
 	at := uint64(len(l.ChangeIDs)) - 1 - missed
 	return l.Customers[at+1:], position.changeID != "" && l.ChangeIDs[at] == position.changeID
 }
+
+// sinceKnown returns the customers changed after the newest change that is one
+// of known. It returns none if the log has no such change.
+func (l changeLog) sinceKnown(known []string) []string {
+	for i := len(l.ChangeIDs) - 1; i >= 0; i-- {
+		if l.ChangeIDs[i] != "" && slices.Contains(known, l.ChangeIDs[i]) {
+			return l.Customers[i+1:]
+		}
+	}
+	return nil
+}
--- a/internal/control/platform/harness_test.go
+++ b/internal/control/platform/harness_test.go
@@ -131,3 +131,6 @@
 		return (<-g.responses)(copied)
 	}
 }
+
+// nothingHeld is the ContractWatch.Held of a process without contracts in effect.
+func nothingHeld(string) (contract.Document, bool) { return contract.Document{}, false }
--- a/internal/control/platform/watch.go
+++ b/internal/control/platform/watch.go
@@ -3,31 +3,53 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"strings"
 
 	"github.com/orioledyke/orioledyke/internal/control/contract"
 )
 
 var errNoIndex = errors.New("platform: watch: no index in the response")
 
+// maxKnownChanges is how many identifiers of changes a watch remembers. A store
+// is restored from a copy that is some seconds old.
+const maxKnownChanges = 64
+
 // contractWatch is the state of one WatchContracts call.
 type contractWatch struct {
 	client  *Client
+	held    func(customer string) (contract.Document, bool)
 	deliver func(contract.Document)
-	// revisions holds the newest revision delivered for each customer.
-	revisions map[string]uint64
+	// delivered holds the newest document delivered for each customer.
+	delivered map[string]contract.Document
 	// index is the platform's modification index in the last successful poll,
 	// after which the next poll continues. With 0, the next poll reads all
 	// contracts.
 	index uint64
-	// position is that of the newest change in the last response.
+	// position is that of the newest change in the last response, and known
+	// holds the identifiers of the changes in all responses.
 	position logPosition
+	known    []string
+}
+
+// ContractWatch configures WatchContracts.
+type ContractWatch struct {
+	// Held returns the document of a customer that is in effect, and false if
+	// there is none.
+	Held func(customer string) (contract.Document, bool)
+	// Deliver is called with each document that is newer than the one before.
+	Deliver func(contract.Document)
 }
 
 // WatchContracts delivers every document, including tombstones, and then each
 // change, until ctx ends. It reconnects after errors. The revisions delivered
 // for a customer always increase, but some may be skipped.
-func (c *Client) WatchContracts(ctx context.Context, deliver func(contract.Document)) error {
-	w := &contractWatch{client: c, deliver: deliver, revisions: make(map[string]uint64)}
+//
+// A change that an operator makes after the platform was restored from an older
+// copy may get a revision that had been given out before. WatchContracts then
+// writes it again with a revision above the one in effect.
+func (c *Client) WatchContracts(ctx context.Context, config ContractWatch) error {
+	w := &contractWatch{client: c, held: config.Held, deliver: config.Deliver, delivered: map[string]contract.Document{}}
 	failures := 0
 	for ctx.Err() == nil {
 		err := w.poll(ctx)
@@ -60,56 +82,108 @@
 		// A watch with index 0 would not block, so the loop would not pause.
 		return errNoIndex
 	}
-	var data []byte
+	var stored pair
 	if len(pairs) > 0 {
-		data = pairs[0].Value
+		stored = pairs[0]
 	}
-	log, err := parseChangeLog(data)
+	log, err := parseChangeLog(stored.Value)
 	if err != nil {
 		w.client.config.Report(err)
 	}
-	customers, ok := log.since(w.position)
+	changed, ok := log.since(w.position)
 	// A lower index means that the platform's store was restored or replaced.
-	if w.index == 0 || index < w.index || !ok {
-		err = w.readAll(ctx)
+	all := w.index == 0 || index < w.index || !ok
+	if all {
+		changed = log.sinceKnown(w.known)
+		pairs, err = w.client.list(ctx, contractPrefix)
 	} else {
-		err = w.readChanged(ctx, customers)
+		pairs, err = w.read(ctx, changed)
 	}
 	if err != nil {
 		return err
 	}
+	outranked := w.deliverNewer(pairs)
+	for _, customer := range changed {
+		if p, ok := outranked[customer]; ok {
+			return w.raise(ctx, p, log, stored.ModifyIndex)
+		}
+	}
 	w.index = index
 	w.position = log.last()
+	w.remember(log.ChangeIDs)
 	return nil
 }
 
-func (w *contractWatch) readAll(ctx context.Context) error {
-	pairs, err := w.client.list(ctx, contractPrefix)
-	if err != nil {
-		return err
-	}
-	w.deliverNewer(pairs)
-	return nil
-}
-
-func (w *contractWatch) readChanged(ctx context.Context, customers []string) error {
+func (w *contractWatch) read(ctx context.Context, customers []string) ([]pair, error) {
+	var pairs []pair
 	for _, customer := range customers {
 		stored, ok, err := w.client.get(ctx, contractPrefix+customer)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		if ok {
-			w.deliverNewer([]pair{stored})
+			pairs = append(pairs, stored)
 		}
 	}
-	return nil
+	return pairs, nil
+}
+
+// deliverNewer delivers the documents that are newer than those in effect. It
+// returns the others by customer, unless they are in effect themselves.
+func (w *contractWatch) deliverNewer(pairs []pair) map[string]pair {
+	outranked := map[string]pair{}
+	for _, p := range pairs {
+		for _, d := range w.client.documents([]pair{p}) {
+			current := w.current(d.Customer())
+			switch {
+			case d.Revision() > current.Revision():
+				w.delivered[d.Customer()] = d
+				w.deliver(d)
+			case d.ChangeID() != current.ChangeID():
+				outranked[d.Customer()] = p
+			}
+		}
+	}
+	return outranked
+}
+
+// current returns the newest document that was delivered or is in effect.
+func (w *contractWatch) current(customer string) contract.Document {
+	held, _ := w.held(customer)
+	if delivered := w.delivered[customer]; delivered.Revision() >= held.Revision() {
+		return delivered
+	}
+	return held
+}
+
+// raise writes a document again with a revision above the one in effect. If it
+// is no longer the stored one, nothing is written, and the next poll shows what
+// is. log is the change log and logIndex its index.
+func (w *contractWatch) raise(ctx context.Context, stored pair, log changeLog, logIndex uint64) error {
+	d, err := contract.ParseDocument(strings.TrimPrefix(stored.Key, contractPrefix), stored.Value)
+	if err != nil {
+		return err
+	}
+	raised, err := d.WithRevision(w.current(d.Customer()).Revision() + 1).Encode()
+	if err != nil {
+		return err
+	}
+	extended, err := log.with(d.Customer(), d.ChangeID()).encode()
+	if err != nil {
+		return err
+	}
+	_, err = w.client.transact(ctx, []operation{
+		compareAndSet(stored.Key, stored.ModifyIndex, raised), compareAndSet(changeLogKey, logIndex, extended),
+	})
+	return err
 }
 
-func (w *contractWatch) deliverNewer(pairs []pair) {
-	for _, d := range w.client.documents(pairs) {
-		if d.Revision() > w.revisions[d.Customer()] {
-			w.revisions[d.Customer()] = d.Revision()
-			w.deliver(d)
+// remember adds identifiers of changes to the known ones.
+func (w *contractWatch) remember(changeIDs []string) {
+	for _, id := range changeIDs {
+		if !slices.Contains(w.known, id) {
+			w.known = append(w.known, id)
 		}
 	}
+	w.known = w.known[max(len(w.known)-maxKnownChanges, 0):]
 }
