fleet: Learn configurations and keep entries through a store

The emulator gave a configuration to each balancer at once, so that nothing in it was learned late, from a peer, from an older copy or not at all. With Config.Store, balancers run the product's Follower and Peers, and all hosts its Entry, against the model of the store on the virtual clock. The Follower runs unchanged, as a coroutine behind its function fields.

Faults: the store refuses, is silent, loses responses, executes calls late, turns balancers away, drops its history, ends leases and is restored from copies, while hosts are killed, stopped, drained and added and configurations come in series.

--- a/internal/standin/fleet/balancer.go
+++ b/internal/standin/fleet/balancer.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"net/netip"
 	"slices"
 
@@ -39,6 +40,11 @@
 	reportsLostUntil map[int]clock.Millis
 	// heardFrom holds the sidecars from which this incarnation has received a report.
 	heardFrom map[netip.AddrPort]bool
+	// client calls the store, learner learns of configurations, and keeper keeps the entry
+	// of the host; nil without Config.Store.
+	client  *storeClient
+	learner *learner
+	keeper  *keeper
 }
 
 func newBalancerHost(c *Cluster, index int) *balancerHost {
@@ -68,10 +74,27 @@
 		Random:      b.cluster.random.IntN,
 		AllReported: b.allReported,
 	})
-	b.cluster.after(clock.Millis(5+b.cluster.random.IntN(200)), b.configure(b.incarnation))
+	if b.cluster.store != nil {
+		b.startLearning()
+	} else {
+		b.cluster.after(clock.Millis(5+b.cluster.random.IntN(200)), b.configure(b.incarnation))
+	}
 	b.tick(b.incarnation)
 }
 
+// startLearning connects an incarnation with the store.
+func (b *balancerHost) startLearning() {
+	incarnation := b.incarnation
+	client := &storeClient{alive: func() bool { return b.up && b.incarnation == incarnation }}
+	if b.client != nil {
+		client.fault, client.undisturbedSince = b.client.fault, b.client.undisturbedSince
+	}
+	b.client = client
+	b.keeper = newKeeper(b.cluster, fmt.Sprint("balancers/", b.index), client)
+	b.learner = newLearner(b)
+	b.keeper.onRestore = b.learner.endOutdatedWatch
+}
+
 // configure returns a function that applies the current configuration if the incarnation
 // still runs.
 func (b *balancerHost) configure(incarnation int) func() {
@@ -180,6 +203,10 @@
 		return
 	}
 	b.up = false
+	if b.learner != nil {
+		b.learner.stopFollower()
+		b.learner = nil
+	}
 	c.after(down, b.start)
 }
 
@@ -191,6 +218,9 @@
 		return
 	}
 	b.draining = true
+	if b.keeper != nil {
+		b.keeper.leave()
+	}
 	incarnation := b.incarnation
 	c.after(3*clock.Second, func() {
 		if b.incarnation == incarnation && b.up {
@@ -203,6 +233,10 @@
 // its own of up to 1 s.
 func (c *Cluster) Reconfigure() {
 	c.version++
+	if c.store != nil {
+		c.store.writeConfiguration()
+		return
+	}
 	for _, b := range c.balancers {
 		c.after(clock.Millis(1+c.random.IntN(1000)), b.configure(b.incarnation))
 	}
--- a/internal/standin/fleet/cluster.go
+++ b/internal/standin/fleet/cluster.go
@@ -44,6 +44,10 @@
 	Balancers, Upstreams, Services int
 	// Loss is the fraction of datagrams that are lost, from 0 to 1.
 	Loss float64
+	// Store lets balancers learn of configurations, and all hosts keep their entries, by
+	// calls to a metadata store. Otherwise a configuration reaches each balancer after a
+	// delay of up to 1 s.
+	Store bool
 	// Mutant breaks one mechanism to test the oracle. 0 breaks none.
 	Mutant Mutant
 	// Remote is set if balancers and sidecars run outside of the cluster, nil otherwise.
@@ -83,7 +87,34 @@
 	mutantEnd
 )
 
-// Mutants returns all mutants.
+// Mutants of what processes keep from the store. They need Config.Store.
+const (
+	// EpochIgnored makes balancers keep revisions without the epoch of the store.
+	EpochIgnored Mutant = iota + mutantEnd + 1
+	// CompactionIgnored makes balancers go on with a watch whose history is lost.
+	CompactionIgnored
+	// FetchDeferred lets each further version of a peer defer the fetch of a configuration.
+	FetchDeferred
+	// EntryUnverified makes hosts not look for their entry after a restore.
+	EntryUnverified
+	// LeaseEnded makes processes keep the ID of their lease across restores and end it when
+	// they stop.
+	LeaseEnded
+	// DrainUnrecorded makes sidecars not record drains.
+	DrainUnrecorded
+	storeMutantEnd
+)
+
+// StoreMutants returns the mutants that need Config.Store.
+func StoreMutants() []Mutant {
+	var all []Mutant
+	for m := EpochIgnored; m < storeMutantEnd; m++ {
+		all = append(all, m)
+	}
+	return all
+}
+
+// Mutants returns the mutants that do not need Config.Store.
 func Mutants() []Mutant {
 	var all []Mutant
 	for m := DrainIgnored; m < mutantEnd; m++ {
@@ -104,6 +135,8 @@
 	// version is that of the current configuration.
 	version uint64
 	targets targets
+	// store is the metadata store; nil without Config.Store.
+	store *storeHost
 	// flowCount is the number of flows that clients have started.
 	flowCount int
 	// lastRequestID is the ID of the last request. It is also the number of requests so
@@ -127,6 +160,9 @@
 		config: config, random: rand.New(rand.NewPCG(config.Seed, 1)), version: 1, targets: newTargets(config.Services),
 		executions: map[uint64]int{}, notRepeatable: map[uint64]bool{}, clientFlows: map[netip.AddrPort]*clientFlow{},
 	}
+	if config.Store {
+		c.store = newStoreHost(c)
+	}
 	for i := range config.Balancers {
 		c.balancers = append(c.balancers, newBalancerHost(c, i))
 	}
--- /dev/null
+++ b/internal/standin/fleet/keeper.go
@@ -0,0 +1,238 @@
+package fleet
+
+import (
+	"fmt"
+	"strconv"
+
+	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/flow/entry"
+	"github.com/orioledyke/orioledyke/internal/flow/store"
+	"github.com/orioledyke/orioledyke/internal/standin/metadata"
+)
+
+const (
+	// listInterval is the shortest time between two reads of the list of hosts, and
+	// listJitter is the longest that is added to it.
+	listInterval = 10 * clock.Second
+	listJitter   = 3 * clock.Second
+	// callRetryInterval is the time after which a failed call is repeated.
+	callRetryInterval clock.Millis = 500
+	// announceTime is how long a balancer announces a restore of the store.
+	announceTime = 5 * clock.Second
+	// restoreDrainTimeout is how long a sidecar waits for the store at its start before it
+	// accepts new flows.
+	restoreDrainTimeout clock.Millis = 400
+)
+
+// keeper keeps the entry of a host in the store in one incarnation of its process.
+type keeper struct {
+	cluster *Cluster
+	key     string
+	client  *storeClient
+	entry   *entry.Entry
+	// onDrain is called when a read has found a drain; nil for a balancer.
+	onDrain func(upstreamStart int64)
+	// onRestore is called when the process has noticed a restore; nil for a sidecar.
+	onRestore func()
+	// epoch is the newest that the store has stated, and announced the newest that a
+	// balancer has announced.
+	epoch, announced store.Epoch
+	announceUntil    clock.Millis
+	// calling is set while a call is in progress.
+	calling bool
+	// leaseID is that of the last lease that was granted.
+	leaseID uint64
+}
+
+func newKeeper(c *Cluster, key string, client *storeClient) *keeper {
+	k := &keeper{cluster: c, key: key, client: client, entry: entry.New()}
+	k.settle()
+	k.scheduleList()
+	return k
+}
+
+func (k *keeper) after(d clock.Millis, run func()) {
+	k.cluster.after(d, func() {
+		if k.client.alive() {
+			run()
+		}
+	})
+}
+
+// settle makes the calls that the entry needs, one after the other.
+func (k *keeper) settle() {
+	call := k.entry.Next(k.cluster.now)
+	if k.calling || call.Action == entry.None {
+		return
+	}
+	k.calling = true
+	var result entry.Result
+	k.cluster.store.call(k.client, func(state *metadata.Store) { result = k.execute(state, call) }, func(err error) {
+		k.calling = false
+		if err != nil {
+			k.entry.Ended(k.cluster.now, call, entry.Result{})
+			k.after(callRetryInterval, k.settle)
+			return
+		}
+		known := k.entry.DrainingUpstreamStart()
+		k.observe(result.Epoch)
+		k.entry.Ended(k.cluster.now, call, result)
+		if found := k.entry.DrainingUpstreamStart(); found > known && k.onDrain != nil {
+			k.onDrain(found)
+		}
+		k.settle()
+	})
+}
+
+// execute executes a call at the store.
+func (k *keeper) execute(state *metadata.Store, call entry.Call) entry.Result {
+	owners := k.cluster.store.owners
+	r := entry.Result{Outcome: entry.Done, Epoch: store.Epoch(state.Epoch())}
+	transaction := metadata.Transaction{Expected: []metadata.Item{{Key: k.key, Revision: call.Expected}}}
+	switch call.Action {
+	case entry.Read:
+		item, _ := state.Get(k.key)
+		r.Item = entry.Item{Revision: item.Revision, Lease: item.Lease}
+		r.Item.DrainingUpstreamStart, _ = strconv.ParseInt(item.Value, 10, 64)
+		return r
+	case entry.Grant:
+		r.LeaseID = state.Grant(k.cluster.now, entry.TTL)
+		owners[r.LeaseID], k.leaseID = k.key, r.LeaseID
+		return r
+	case entry.Renew:
+		if _, ok := state.Renew(k.cluster.now, call.Lease.ID); !ok {
+			r.Outcome = entry.NoLease
+		} else if owners[call.Lease.ID] != k.key && k.epoch == r.Epoch {
+			k.cluster.recordViolation("%s renewed the lease of %s", k.key, owners[call.Lease.ID])
+		}
+		return r
+	case entry.Write:
+		drain := call.DrainingUpstreamStart
+		if k.cluster.config.Mutant == DrainUnrecorded {
+			drain = 0
+		}
+		transaction.Puts = []metadata.Item{{Key: k.key, Value: fmt.Sprint(drain), Lease: call.Lease.ID}}
+	case entry.Remove:
+		transaction.Remove = []string{k.key}
+	}
+	switch state.Transact(transaction) {
+	case metadata.Conflict:
+		r.Outcome = entry.Conflict
+	case metadata.NoLease:
+		r.Outcome = entry.NoLease
+	}
+	r.Revision = state.Revision()
+	return r
+}
+
+// scheduleList reads the list of hosts after its interval.
+func (k *keeper) scheduleList() {
+	k.after(listInterval+clock.Millis(k.cluster.random.IntN(int(listJitter))), func() {
+		var listed bool
+		var epoch store.Epoch
+		k.cluster.store.call(k.client, func(state *metadata.Store) {
+			_, listed = state.Get(k.key)
+			epoch = store.Epoch(state.Epoch())
+		}, func(err error) {
+			if err == nil {
+				k.observe(epoch)
+				if !listed && k.cluster.config.Mutant != EntryUnverified {
+					k.entry.Unlisted(k.cluster.now)
+				}
+				k.settle()
+			}
+			k.scheduleList()
+		})
+	})
+}
+
+// observe records the epoch that a response of the store states.
+func (k *keeper) observe(epoch store.Epoch) {
+	before := k.epoch
+	if epoch <= before {
+		return
+	}
+	k.epoch = epoch
+	if before == 0 {
+		return
+	}
+	k.announceUntil = k.cluster.now + announceTime
+	k.verify()
+	if k.onRestore != nil {
+		k.onRestore()
+	}
+}
+
+func (k *keeper) verify() {
+	if m := k.cluster.config.Mutant; m == EntryUnverified || m == LeaseEnded {
+		return
+	}
+	k.entry.Verify()
+	k.after(1, k.settle)
+}
+
+// announce tells all hosts that the store was restored, for announceTime.
+func (k *keeper) announce() {
+	if k.cluster.now >= k.announceUntil {
+		return
+	}
+	epoch := k.epoch
+	for _, b := range k.cluster.balancers {
+		b.receive(func() { b.keeper.handleAnnouncement(epoch) })
+	}
+	for _, u := range k.cluster.upstreams {
+		if !u.removed {
+			u.receive(func() { u.keeper.handleAnnouncement(epoch) })
+		}
+	}
+}
+
+func (k *keeper) handleAnnouncement(epoch store.Epoch) {
+	if k.epoch == 0 || epoch <= max(k.epoch, k.announced) {
+		return
+	}
+	k.announced = epoch
+	k.verify()
+}
+
+// recordDrain records that the upstream with the given start time drains.
+func (k *keeper) recordDrain(upstreamStart int64) {
+	k.entry.RecordDrain(upstreamStart)
+	k.settle()
+}
+
+// leave removes the entry at the end of the process.
+func (k *keeper) leave() {
+	if k.cluster.config.Mutant == LeaseEnded {
+		k.cluster.store.endLease(k.key, k.leaseID)
+		return
+	}
+	k.entry.Leave()
+	k.settle()
+}
+
+// CheckDirectory records a violation for each running host whose entry is missing, under the
+// lease of another host, or without its drain.
+func (c *Cluster) CheckDirectory() {
+	check := func(k *keeper) {
+		item, ok := c.store.state.Get(k.key)
+		switch {
+		case !ok:
+			c.recordViolation("%s has no entry", k.key)
+		case c.store.owners[item.Lease] != k.key:
+			c.recordViolation("%s is under the lease of %q", k.key, c.store.owners[item.Lease])
+		case item.Value != fmt.Sprint(k.entry.DrainingUpstreamStart()):
+			c.recordViolation("%s records the drain %s instead of %d", k.key, item.Value, k.entry.DrainingUpstreamStart())
+		}
+	}
+	for _, b := range c.balancers {
+		if b.up && !b.draining {
+			check(b.keeper)
+		}
+	}
+	for _, u := range c.upstreams {
+		if u.sidecarUp && !u.removed {
+			check(u.keeper)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/fleet/store_test.go
@@ -0,0 +1,100 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/standin/fleet"
+)
+
+// injectStoreFault injects one random fault of the store.
+func injectStoreFault(cluster *fleet.Cluster, balancers int) {
+	cut := cluster.RandomInt(2) == 0
+	switch cluster.RandomInt(10) {
+	case 0:
+		cluster.SetStoreFault(fleet.StoreFault(cluster.RandomInt(int(fleet.StoreFaultCount))), cut)
+	case 1, 2:
+		cluster.SetStoreFault(fleet.StoreWorks, cut)
+	case 3:
+		cluster.TurnAway(cluster.RandomInt(balancers), fleet.StoreFault(cluster.RandomInt(int(fleet.StoreFaultCount))))
+	case 4:
+		cluster.TurnAway(cluster.RandomInt(balancers), fleet.StoreWorks)
+	case 5:
+		cluster.CompactStore()
+	case 6:
+		cluster.EndLeases()
+	default:
+		cluster.RestoreStore(cluster.RandomInt(12), clock.Millis(cluster.RandomInt(2)*cluster.RandomInt(1500)))
+	}
+}
+
+// changeConfigurations lets the operator write a series of configurations, or none, and
+// others write to the store. Long series go on for 6 s.
+func changeConfigurations(cluster *fleet.Cluster, services int) {
+	count := []int{0, 1, 3, 60}[cluster.RandomInt(4)]
+	for range count {
+		moveTargets(cluster, services)
+		cluster.Advance(100)
+	}
+	cluster.WriteOtherKeys(cluster.RandomInt(150))
+}
+
+// runWithStoreFaults runs a cluster that uses its store under load. In each of 20 rounds it
+// injects a random fault of the store and of the hosts and changes configurations, which is
+// followed by calm now and then. Half a minute after the last fault it checks the directory.
+func runWithStoreFaults(config fleet.Config) *fleet.Cluster {
+	config.Store = true
+	cluster := fleet.New(config)
+	cluster.Advance(2 * clock.Second)
+	for range 20 {
+		injectStoreFault(cluster, config.Balancers)
+		injectFault(cluster, config.Balancers, config.Services)
+		changeConfigurations(cluster, config.Services)
+		openFlows(cluster, config.Services, []int{1, 1, 6}[cluster.RandomInt(3)])
+	}
+	cluster.SetStoreFault(fleet.StoreWorks, false)
+	for i := range config.Balancers {
+		cluster.TurnAway(i, fleet.StoreWorks)
+	}
+	restoreTargets(cluster, config.Services)
+	cluster.Advance(30 * clock.Second)
+	cluster.CheckDirectory()
+	return cluster
+}
+
+// Guards against rules that are violated under faults of the store: those of TestFaults, a
+// configuration that is in effect late or not at all, an entry of a host that is missing or
+// under the lease of another host, and a recorded drain that is lost.
+func TestStoreFaults(t *testing.T) {
+	for s := *seed; s < *seed+uint64(*seeds); s++ {
+		t.Run(fmt.Sprint(s), func(t *testing.T) {
+			c := qt.New(t)
+			cluster := runWithStoreFaults(fleet.Config{
+				Seed: s, RendezvousHash: s%2 == 0, Balancers: 8, Upstreams: 3, Services: 2, Loss: float64(s%3) / 100,
+			})
+			c.Assert(cluster.Violations(), qt.HasLen, 0)
+			served, unserved := cluster.Served(), cluster.Unserved()
+			openFlows(cluster, 2, 3)
+			cluster.Advance(20 * clock.Second)
+			c.Assert(cluster.Served() > served, qt.IsTrue)
+			c.Assert(cluster.Unserved()-unserved <= 2, qt.IsTrue)
+		})
+	}
+}
+
+// Guards against an oracle that misses violations of what is kept from the store.
+func TestStoreMutants(t *testing.T) {
+	for _, mutant := range fleet.StoreMutants() {
+		t.Run(fmt.Sprint(mutant), func(t *testing.T) {
+			c := qt.New(t)
+			caught := 0
+			for s := uint64(0); s < mutantSeeds && caught == 0; s++ {
+				cluster := runWithStoreFaults(fleet.Config{Seed: *seed + s, Balancers: 8, Upstreams: 3, Services: 2, Mutant: mutant})
+				caught += len(cluster.Violations())
+			}
+			c.Assert(caught > 0, qt.IsTrue)
+		})
+	}
+}
