fleet: Pause balancers and restore the store unnoticed

Paused processes are what a reused revision needs: no call of theirs fails. A pause holds back all that arrives, and the process goes on with its old state.

The users' rules do not count a sender that is not in touch, and clients of open flows ignore the reset, whose sequence number is 0.

--- a/internal/standin/fleet/client.go
+++ b/internal/standin/fleet/client.go
@@ -152,6 +152,17 @@
 	c.deliver(func() { c.receiveClient(decode(raw)) })
 }
 
+// resetByPaused delivers a reset by a balancer that was paused a short time before. It may
+// answer the first packet of a flow that has opened through another balancer meanwhile. The
+// users' rules do not count resets by a host that was disturbed.
+func (c *Cluster) resetByPaused(raw []byte) {
+	c.deliver(func() {
+		if cf := c.clientFlows[decode(raw).to]; cf != nil && !cf.ended {
+			cf.fail(!cf.open)
+		}
+	})
+}
+
 func (c *Cluster) receiveClient(h header) {
 	if cf := c.clientFlows[h.to]; cf != nil && !cf.ended {
 		cf.handle(h)
--- a/internal/standin/fleet/upstream.go
+++ b/internal/standin/fleet/upstream.go
@@ -146,7 +146,10 @@
 // startKeeping connects an incarnation of the sidecar with the store.
 func (u *upstreamHost) startKeeping() {
 	incarnation := u.sidecarIncarnation
-	client := &storeClient{alive: func() bool { return u.sidecarUp && u.sidecarIncarnation == incarnation && !u.removed }}
+	client := &storeClient{
+		alive:       func() bool { return u.sidecarUp && u.sidecarIncarnation == incarnation && !u.removed },
+		whenRunning: func(run func()) { run() },
+	}
 	u.keeper = newKeeper(u.cluster, fmt.Sprint("sidecars/", u.index), client)
 	u.keeper.onDrain = func(upstreamStart int64) {
 		u.registration.RestoreDrain(upstreamStart)
