--- a/Makefile
+++ b/Makefile
@@ -49,6 +49,7 @@
 	$(GO) test -run '^$$' -bench Services -benchtime 1x ./internal/balancer/client
 	$(GO) test -run '^$$' -bench Flows -benchtime 1x ./internal/sidecar/client
 	$(GO) test -run '^$$' -bench . ./internal/balancer/routing
+	$(GO) test -run '^$$' -bench Configurations -benchtime 1x ./internal/standin/fleet
 
 STEPS ?= 20000
 
--- a/internal/standin/fleet/store.go
+++ b/internal/standin/fleet/store.go
@@ -68,6 +68,8 @@
 	configurations map[uint64]route.Config
 	// undisturbedSince is the time of the last fault, restore or end of a fault.
 	undisturbedSince clock.Millis
+	// calls is the number of calls so far.
+	calls int
 	// lapsedAt is when leases have ended without notice.
 	lapsedAt clock.Millis
 	// written holds the versions that the operator has written.
@@ -203,6 +205,7 @@
 // call sends a call to the store. done gets an error if no response arrives.
 func (s *storeHost) call(client *storeClient, execute func(*metadata.Store), done func(error)) {
 	c := s.cluster
+	s.calls++
 	finish := func(delay clock.Millis, err error) {
 		c.after(delay, func() {
 			client.whenRunning(func() {
@@ -299,6 +302,21 @@
 	return true
 }
 
+// StoreCalls returns the number of calls of all hosts to the store so far, with one for each
+// watch.
+func (c *Cluster) StoreCalls() int { return c.store.calls }
+
+// ConfigurationApplied reports whether the newest configuration is in effect on all
+// balancers that run.
+func (c *Cluster) ConfigurationApplied() bool {
+	for _, b := range c.balancers {
+		if b.up && c.now >= b.pausedUntil && b.logic.Table().Version() < c.version {
+			return false
+		}
+	}
+	return true
+}
+
 // SetStoreFault replaces the fault of the store. Waiting watches are cut if cut is set.
 func (c *Cluster) SetStoreFault(fault StoreFault, cut bool) {
 	s := c.store
