fleet: Cut balancers off and print timelines of failing hosts

Balancers may have no path to the others for up to 20 s; what the store could tell them must still be in effect in time. A violation of what is learned or kept prints the last 40 events of the host: versions and from where, watches with their revision and epoch, calls for the entry and their results.

--- a/internal/standin/fleet/balancer.go
+++ b/internal/standin/fleet/balancer.go
@@ -38,8 +38,9 @@
 	draining     bool
 	startedAt    clock.Millis
 	failedProbes int
-	// pausedUntil is the end of the last pause of the process.
-	pausedUntil clock.Millis
+	// pausedUntil is the end of the last pause of the process. Until cutUntil, the host has
+	// no path to the other balancers.
+	pausedUntil, cutUntil clock.Millis
 	// reportsLostUntil is the end of a period in which no report of an upstream's sidecar
 	// reaches this balancer, by upstream.
 	reportsLostUntil map[int]clock.Millis
@@ -50,6 +51,8 @@
 	client  *storeClient
 	learner *learner
 	keeper  *keeper
+	// timeline holds what the host has learned and done lately.
+	timeline timeline
 }
 
 func newBalancerHost(c *Cluster, index int) *balancerHost {
@@ -97,7 +100,8 @@
 		client.fault, client.undisturbedSince = b.client.fault, b.client.undisturbedSince
 	}
 	b.client = client
-	b.keeper = newKeeper(b.cluster, fmt.Sprint("balancers/", b.index), client)
+	b.timeline.add(b.cluster.now, "started")
+	b.keeper = newKeeper(b.cluster, fmt.Sprint("balancers/", b.index), client, &b.timeline)
 	b.learner = newLearner(b)
 	b.keeper.onRestore = b.learner.endOutdatedWatch
 }
@@ -244,9 +248,18 @@
 func (c *Cluster) PauseBalancer(index int, d clock.Millis) {
 	if b := c.balancers[index]; b.up {
 		b.pausedUntil = c.now + d
+		b.timeline.add(c.now, "paused for %d ms", d)
 	}
 }
 
+// CutBalancer cuts a balancer off from the other balancers.
+func (c *Cluster) CutBalancer(index int, d clock.Millis) { c.balancers[index].cutUntil = c.now + d }
+
+// reaches reports whether two balancers have a path to each other.
+func (b *balancerHost) reaches(other *balancerHost) bool {
+	return b.cluster.now >= max(b.cutUntil, other.cutUntil)
+}
+
 // StopBalancer stops a balancer gracefully, as an operator does. The balancer fails its
 // readiness probes for 3 s, then ends, and restarts after the downtime.
 func (c *Cluster) StopBalancer(index int, down clock.Millis) {
--- a/internal/standin/fleet/keeper.go
+++ b/internal/standin/fleet/keeper.go
@@ -41,11 +41,12 @@
 	// calling is set while a call is in progress.
 	calling bool
 	// leaseID is that of the last lease that was granted.
-	leaseID uint64
+	leaseID  uint64
+	timeline *timeline
 }
 
-func newKeeper(c *Cluster, key string, client *storeClient) *keeper {
-	k := &keeper{cluster: c, key: key, client: client, entry: entry.New()}
+func newKeeper(c *Cluster, key string, client *storeClient, t *timeline) *keeper {
+	k := &keeper{cluster: c, key: key, client: client, entry: entry.New(), timeline: t}
 	k.settle()
 	k.scheduleList()
 	return k
@@ -66,6 +67,7 @@
 		return
 	}
 	k.calling = true
+	k.timeline.add(k.cluster.now, "entry: %+v", call)
 	var result entry.Result
 	k.cluster.store.call(k.client, func(state *metadata.Store) { result = k.execute(state, call) }, func(err error) {
 		k.calling = false
@@ -74,6 +76,7 @@
 			k.after(callRetryInterval, k.settle)
 			return
 		}
+		k.timeline.add(k.cluster.now, "entry: %+v", result)
 		known := k.entry.DrainingUpstreamStart()
 		k.observe(result.Epoch)
 		k.entry.Ended(k.cluster.now, call, result)
@@ -156,6 +159,7 @@
 	if before == 0 {
 		return
 	}
+	k.timeline.add(k.cluster.now, "store restored, epoch %d", epoch)
 	k.announceUntil = k.cluster.now + announceTime
 	k.verify()
 	if k.onRestore != nil {
@@ -192,6 +196,7 @@
 		return
 	}
 	k.announced = epoch
+	k.timeline.add(k.cluster.now, "announced epoch %d", epoch)
 	k.verify()
 }
 
@@ -218,11 +223,11 @@
 		item, ok := c.store.state.Get(k.key)
 		switch {
 		case !ok:
-			c.recordViolation("%s has no entry", k.key)
+			c.recordViolation("%s has no entry\n%s", k.key, k.timeline)
 		case c.store.owners[item.Lease] != k.key:
-			c.recordViolation("%s is under the lease of %q", k.key, c.store.owners[item.Lease])
+			c.recordViolation("%s is under the lease of %q\n%s", k.key, c.store.owners[item.Lease], k.timeline)
 		case item.Value != fmt.Sprint(k.entry.DrainingUpstreamStart()):
-			c.recordViolation("%s records the drain %s instead of %d", k.key, item.Value, k.entry.DrainingUpstreamStart())
+			c.recordViolation("%s records the drain %s instead of %d\n%s", k.key, item.Value, k.entry.DrainingUpstreamStart(), k.timeline)
 		}
 	}
 	for _, b := range c.balancers {
--- a/internal/standin/fleet/upstream.go
+++ b/internal/standin/fleet/upstream.go
@@ -60,6 +60,8 @@
 	// it has looked for a drain, or had the time to.
 	keeper        *keeper
 	drainRestored bool
+	// timeline holds what the sidecar has learned and done lately.
+	timeline timeline
 
 	// The upstream and its current incarnation.
 	upstreamUp bool
@@ -150,7 +152,8 @@
 		alive:       func() bool { return u.sidecarUp && u.sidecarIncarnation == incarnation && !u.removed },
 		whenRunning: func(run func()) { run() },
 	}
-	u.keeper = newKeeper(u.cluster, fmt.Sprint("sidecars/", u.index), client)
+	u.timeline.add(u.cluster.now, "started")
+	u.keeper = newKeeper(u.cluster, fmt.Sprint("sidecars/", u.index), client, &u.timeline)
 	u.keeper.onDrain = func(upstreamStart int64) {
 		u.registration.RestoreDrain(upstreamStart)
 		u.applyRegistration()
