fleet: Add a failing test of a drain that a restore loses

Ways weighed: to accept only after two heartbeats of an incarnation, which delays every restart of a sidecar by 1.2 s, after a loss of all processes too; to store the epoch in the entry, so that a restarted sidecar notices a restore and asks for a second heartbeat only then, which older builds cannot read.

--- a/internal/standin/fleet/store_test.go
+++ b/internal/standin/fleet/store_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 
@@ -9,6 +10,8 @@
 	"github.com/orioledyke/orioledyke/internal/standin/fleet"
 )
 
+var balancers = flag.Int("fleet.balancers", 8, "number of balancers of TestStoreFaults")
+
 // injectStoreFault injects one random fault of the store.
 func injectStoreFault(cluster *fleet.Cluster, balancers int) {
 	cut := cluster.RandomInt(2) == 0
@@ -93,7 +96,7 @@
 		t.Run(fmt.Sprint(s), func(t *testing.T) {
 			c := qt.New(t)
 			cluster := runWithStoreFaults(fleet.Config{
-				Seed: s, RendezvousHash: s%2 == 0, Balancers: 8, Upstreams: 3, Services: 2, Loss: float64(s%3) / 100,
+				Seed: s, RendezvousHash: s%2 == 0, Balancers: *balancers, Upstreams: 3, Services: 2, Loss: float64(s%3) / 100,
 			})
 			for _, violation := range cluster.Violations() {
 				t.Error(violation)
@@ -107,6 +110,25 @@
 	}
 }
 
+// Guards against new flows for an upstream that leaves, because its sidecar was killed, the
+// store was restored from a copy without the record of the drain meanwhile, and a late
+// heartbeat of an earlier incarnation reaches the restarted sidecar first.
+func TestDrainIsKnownAfterRestoreAndRestart(t *testing.T) {
+	for s := range uint64(20) {
+		cluster := fleet.New(fleet.Config{Seed: s, Store: true, Balancers: 4, Upstreams: 3, Services: 1})
+		cluster.Advance(8 * clock.Second)
+		cluster.DrainUpstream(0)
+		openFlows(cluster, 1, 1)
+		cluster.KillSidecar(0, 2500)
+		openFlows(cluster, 1, 1)
+		cluster.RestoreStore(5, 0)
+		openFlows(cluster, 1, 5)
+		for _, violation := range cluster.Violations() {
+			t.Error(violation)
+		}
+	}
+}
+
 // Guards against an oracle that misses violations of what is kept from the store.
 func TestStoreMutants(t *testing.T) {
 	for _, mutant := range fleet.StoreMutants() {
--- a/internal/standin/fleet/upstream.go
+++ b/internal/standin/fleet/upstream.go
@@ -339,7 +339,9 @@
 	if u.cluster.config.Mutant == StaleHeartbeatsApplied {
 		u.registration = registration.New(registration.Config{Address: u.upstreamAddress, Service: serviceName(u.service)})
 	}
-	if u.registration.Heartbeat(u.cluster.now, h) != registration.Applied {
+	result := u.registration.Heartbeat(u.cluster.now, h)
+	u.timeline.add(u.cluster.now, "heartbeat %d of %d, draining: %t, %s", h.Sequence, h.StartedAt, h.Draining, result)
+	if result != registration.Applied {
 		return
 	}
 	if u.servedStart != h.StartedAt {
@@ -407,7 +409,8 @@
 	}
 	if f == nil {
 		if u.drainAcknowledgedAt > 0 && u.cluster.now-u.drainAcknowledgedAt > drainGracePeriod {
-			u.cluster.recordViolation("upstream %d received a new flow %d ms after its drain was acknowledged", u.index, u.cluster.now-u.drainAcknowledgedAt)
+			u.cluster.recordViolation("upstream %d received a new flow %d ms after its drain was acknowledged\n%s",
+				u.index, u.cluster.now-u.drainAcknowledgedAt, &u.timeline)
 		}
 		f = &upstreamFlow{firstSequence: u.cluster.random.Uint32(), ackNumber: h.sequence + 1, received: map[uint64]bool{}}
 		f.nextSequence = f.firstSequence + 1
