--- a/internal/flow/entry/entry.go
+++ b/internal/flow/entry/entry.go
@@ -57,8 +57,8 @@
 	// means that there must be no entry.
 	Expected              uint64
 	DrainingUpstreamStart int64
-	// doubts is the number of calls of Verify before a Read.
-	doubts int
+	// verifyCount is the number of calls of Verify before a Read.
+	verifyCount int
 }
 
 // Outcome is the outcome of a call.
@@ -99,8 +99,8 @@
 	item  Item
 	epoch store.Epoch
 	known bool
-	// doubts is the number of calls of Verify.
-	doubts int
+	// verifyCount is the number of calls of Verify.
+	verifyCount int
 	// lease is the process's own lease; its ID is 0 if there is none. held is set if the
 	// process has written the entry under it.
 	lease       store.Lease
@@ -128,7 +128,7 @@
 // read in progress does not count, because it may have been executed before.
 func (e *Entry) Verify() {
 	e.known = false
-	e.doubts++
+	e.verifyCount++
 }
 
 // Unlisted records that a list of the store, which may be seconds old, lacks the entry.
@@ -163,7 +163,7 @@
 }
 
 // Read returns a call that reads the entry, whether or not one is due.
-func (e *Entry) Read() Call { return Call{Action: Read, doubts: e.doubts} }
+func (e *Entry) Read() Call { return Call{Action: Read, verifyCount: e.verifyCount} }
 
 // Ended records the result of a call.
 func (e *Entry) Ended(now clock.Millis, call Call, r Result) {
@@ -183,7 +183,7 @@
 	switch call.Action {
 	case Read:
 		e.read(now, r)
-		e.known = call.doubts == e.doubts
+		e.known = call.verifyCount == e.verifyCount
 	case Grant:
 		e.lease, e.held, e.lastRenewal = store.Lease{Epoch: r.Epoch, ID: r.LeaseID}, false, now
 	case Write:
--- a/internal/standin/fleet/upstream.go
+++ b/internal/standin/fleet/upstream.go
@@ -145,42 +145,6 @@
 	u.tickAndReport(u.sidecarIncarnation)
 }
 
-// startKeeping connects an incarnation of the sidecar with the store.
-func (u *upstreamHost) startKeeping() {
-	incarnation := u.sidecarIncarnation
-	client := &storeClient{
-		alive:       func() bool { return u.sidecarUp && u.sidecarIncarnation == incarnation && !u.removed },
-		whenRunning: func(run func()) { run() },
-	}
-	u.timeline.add(u.cluster.now, "started")
-	u.keeper = newKeeper(u.cluster, fmt.Sprint("sidecars/", u.index), client, &u.timeline)
-	u.keeper.onDrain = func(upstreamStart int64) {
-		u.registration.RestoreDrain(upstreamStart)
-		u.applyRegistration()
-	}
-	u.cluster.after(restoreDrainTimeout, func() {
-		if client.alive() {
-			u.drainRestored = true
-			u.applyRegistration()
-		}
-	})
-}
-
-// applyRegistration lets the sidecar accept or refuse new flows as the upstream's state
-// demands.
-func (u *upstreamHost) applyRegistration() {
-	_, known := u.registration.Current()
-	switch {
-	case !known:
-	case u.registration.Accepting():
-		if !u.sidecarStopping && u.drainRestored {
-			u.logic.Accept()
-		}
-	case u.cluster.config.Mutant != DrainIgnored:
-		u.logic.Refuse(relay.ReasonDraining)
-	}
-}
-
 // receive calls handle after the network delay, unless the datagram is lost or the sidecar
 // has ended in the meantime.
 func (u *upstreamHost) receive(handle func()) {
