--- a/internal/standin/fleet/faults.go
+++ b/internal/standin/fleet/faults.go
@@ -14,6 +14,7 @@
 		return
 	}
 	u.sidecarUp, u.sidecarEndedAt, u.sidecarKilled = false, c.now, !u.sidecarStopping
+	u.pausedUntil, u.sidecarInterrupted = 0, false
 	c.after(down, func() {
 		if !u.removed {
 			u.startSidecar()
@@ -21,6 +22,18 @@
 	})
 }
 
+// PauseSidecar pauses the process of a sidecar. What arrives meanwhile waits.
+func (c *Cluster) PauseSidecar(index int, d clock.Millis) {
+	u := c.upstreams[index]
+	if !u.sidecarUp || u.removed {
+		return
+	}
+	u.pausedUntil = c.now + d
+	u.timeline.add(c.now, "paused for %d ms", d)
+	c.SetSidecarInterrupted(index, true)
+	u.whenRunning(func() { c.SetSidecarInterrupted(index, false) })
+}
+
 // StopSidecar stops a sidecar gracefully and restarts it after the downtime. Its upstream
 // keeps running.
 func (c *Cluster) StopSidecar(index int, down clock.Millis) {
--- a/internal/standin/fleet/keeper.go
+++ b/internal/standin/fleet/keeper.go
@@ -55,9 +55,11 @@
 
 func (k *keeper) after(d clock.Millis, run func()) {
 	k.cluster.after(d, func() {
-		if k.client.alive() {
-			run()
-		}
+		k.client.whenRunning(func() {
+			if k.client.alive() {
+				run()
+			}
+		})
 	})
 }
 
@@ -222,7 +224,7 @@
 	incarnation := u.sidecarIncarnation
 	client := &storeClient{
 		alive:       func() bool { return u.sidecarUp && u.sidecarIncarnation == incarnation && !u.removed },
-		whenRunning: func(run func()) { run() },
+		whenRunning: u.whenRunning,
 	}
 	u.timeline.add(u.cluster.now, "started")
 	u.keeper = newKeeper(u.cluster, fmt.Sprint("sidecars/", u.index), client, &u.timeline)
--- a/internal/standin/fleet/upstream.go
+++ b/internal/standin/fleet/upstream.go
@@ -48,8 +48,10 @@
 	// sidecarKilled is set if that last process ended without notice. sidecarInterrupted is
 	// set while a process outside of the cluster is.
 	sidecarKilled, sidecarInterrupted bool
-	removed                           bool
-	learningUntil                     clock.Millis
+	// pausedUntil is the end of the last pause of the sidecar.
+	pausedUntil   clock.Millis
+	removed       bool
+	learningUntil clock.Millis
 	// servedStart is the start time of the upstream incarnation that the sidecar serves, 0
 	// if it knows none.
 	servedStart int64
@@ -150,12 +152,17 @@
 func (u *upstreamHost) receive(handle func()) {
 	incarnation := u.sidecarIncarnation
 	u.cluster.deliver(func() {
-		if u.sidecarUp && u.sidecarIncarnation == incarnation {
-			handle()
-		}
+		u.whenRunning(func() {
+			if u.sidecarUp && u.sidecarIncarnation == incarnation {
+				handle()
+			}
+		})
 	})
 }
 
+// whenRunning calls run now, or at the end of the pause of the sidecar.
+func (u *upstreamHost) whenRunning(run func()) { u.cluster.whenRunning(&u.pausedUntil, run) }
+
 // sendMessage sends a message of the sidecar to another sidecar or to a balancer. It applies
 // the mutants that change messages.
 func (u *upstreamHost) sendMessage(to netip.AddrPort, data []byte) {
@@ -219,6 +226,10 @@
 	if !u.sidecarUp || u.sidecarIncarnation != incarnation || u.removed {
 		return
 	}
+	if u.cluster.now < u.pausedUntil {
+		u.whenRunning(func() { u.tickAndReport(incarnation) })
+		return
+	}
 	u.logic.Tick(u.cluster.now)
 	u.updateSiblings()
 	if u.servedStart != 0 && u.cluster.now > u.learningUntil {
@@ -300,6 +311,15 @@
 		remote.Heartbeat(u.index, h)
 		return
 	}
+	incarnation := u.sidecarIncarnation
+	u.whenRunning(func() {
+		if u.sidecarUp && u.sidecarIncarnation == incarnation {
+			u.applyHeartbeat(h)
+		}
+	})
+}
+
+func (u *upstreamHost) applyHeartbeat(h registration.Heartbeat) {
 	if u.cluster.config.Mutant == StaleHeartbeatsApplied {
 		u.registration = registration.New(registration.Config{Address: u.upstreamAddress, Service: serviceName(u.service)})
 	}
@@ -456,9 +476,11 @@
 	}
 	incarnation := u.sidecarIncarnation
 	u.cluster.after(0, func() {
-		if u.sidecarUp && u.sidecarIncarnation == incarnation {
-			u.logic.HandleUpstream(u.cluster.now, raw)
-		}
+		u.whenRunning(func() {
+			if u.sidecarUp && u.sidecarIncarnation == incarnation {
+				u.logic.HandleUpstream(u.cluster.now, raw)
+			}
+		})
 	})
 }
 
