fleet: Count the silence of a sidecar from its pause on

A sidecar that is killed while it is paused has been silent since the pause began, not since it was killed. The oracle allows the reset of a repeatable flow of a sidecar that has been silent for a second (trace of: paused at 5.6 s, killed at 6.6 s, reset from 7.1 s on). Processes outside of the cluster were counted so before.

--- a/internal/standin/fleet/faults.go
+++ b/internal/standin/fleet/faults.go
@@ -13,7 +13,10 @@
 	if !u.sidecarUp || u.removed {
 		return
 	}
-	u.sidecarUp, u.sidecarEndedAt, u.sidecarKilled = false, c.now, !u.sidecarStopping
+	u.sidecarUp, u.sidecarKilled = false, !u.sidecarStopping
+	if !u.sidecarInterrupted {
+		u.sidecarEndedAt = c.now
+	}
 	u.pausedUntil, u.sidecarInterrupted = 0, false
 	c.after(down, func() {
 		if !u.removed {
