--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -13,8 +13,13 @@
 	"time"
 )
 
-// requestTimeout is the deadline of a request.
-const requestTimeout = 2500 * time.Millisecond
+const (
+	// requestTimeout is the deadline of a request.
+	requestTimeout = 2500 * time.Millisecond
+	// A node that misses maxMisses probes is out of rotation.
+	probeInterval = 500 * time.Millisecond
+	maxMisses     = 2
+)
 
 // requestID returns the X-Request-Id of a request or response.
 func requestID(text string) string {
@@ -44,12 +49,6 @@
 		return err
 	}
 	w.router = &router{world: w, conn: conn}
-	go func() {
-		for {
-			time.Sleep(500 * time.Millisecond)
-			w.router.probe()
-		}
-	}()
 	return nil
 }
 
@@ -59,39 +58,37 @@
 	defer r.mutex.Unlock()
 	var nodes []*routerNode
 	for _, host := range hosts {
-		node := &routerNode{host: host}
+		var node *routerNode
 		for _, old := range r.nodes {
 			if old.host == host {
 				node = old
 			}
 		}
+		if node == nil {
+			node = &routerNode{host: host}
+			go r.probe(node)
+		}
 		nodes = append(nodes, node)
 	}
 	r.nodes = nodes
 }
 
-func (r *router) probe() {
-	r.mutex.Lock()
-	nodes := append([]*routerNode(nil), r.nodes...)
-	r.mutex.Unlock()
-	client := &http.Client{Timeout: 500 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
-	for _, node := range nodes {
-		go func() {
-			response, err := client.Get(fmt.Sprintf("http://%s:%d/orioledyke/ready", node.host, r.world.ports.ready))
-			ok := err == nil && response.StatusCode == http.StatusOK
-			if err == nil {
-				_ = response.Body.Close()
-			}
-			r.mutex.Lock()
-			defer r.mutex.Unlock()
-			if ok {
-				node.misses, node.ready = 0, true
-				return
-			}
-			if node.misses++; node.misses >= 2 {
-				node.ready = false
-			}
-		}()
+// probe asks a node twice a second whether it is ready.
+func (r *router) probe(node *routerNode) {
+	client := &http.Client{Timeout: probeInterval, Transport: &http.Transport{DisableKeepAlives: true}}
+	time.Sleep(rand.N(probeInterval))
+	for ; ; time.Sleep(probeInterval) {
+		response, err := client.Get(fmt.Sprintf("http://%s:%d/orioledyke/ready", node.host, r.world.ports.ready))
+		ok := err == nil && response.StatusCode == http.StatusOK
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		r.mutex.Lock()
+		if node.misses++; ok {
+			node.misses = 0
+		}
+		node.ready = ok || (node.ready && node.misses < maxMisses)
+		r.mutex.Unlock()
 	}
 }
 
@@ -139,6 +136,8 @@
 	request      string
 	sentAt       time.Time
 	opened, over bool
+	// node is the front machine that took the last packet.
+	node netip.Addr
 	// answered is when the last response came.
 	answered time.Time
 }
@@ -228,8 +227,8 @@
 			f.client.world.record("client %s: no answer to %s in time", f.id.client, name)
 			return
 		}
-		node := f.client.world.router.forward(packet{flags: flagACK, seq: seq, ack: f.serverSeq, src: f.id.client, dst: f.id.service, data: data})
-		f.client.world.record("client %s: sends %s through %s", f.id.client, name, node)
+		f.node = f.client.world.router.forward(packet{flags: flagACK, seq: seq, ack: f.serverSeq, src: f.id.client, dst: f.id.service, data: data})
+		f.client.world.record("client %s: sends %s through %s", f.id.client, name, f.node)
 		time.AfterFunc(interval, func() {
 			f.client.mutex.Lock()
 			defer f.client.mutex.Unlock()
@@ -261,7 +260,7 @@
 		if p.seq == f.serverSeq {
 			f.serverSeq += uint32(len(p.data))
 		}
-		f.client.world.router.forward(packet{flags: flagACK, seq: f.seq + 1, ack: f.serverSeq, src: f.id.client, dst: f.id.service})
+		f.node = f.client.world.router.forward(packet{flags: flagACK, seq: f.seq + 1, ack: f.serverSeq, src: f.id.client, dst: f.id.service})
 		name := requestID(string(p.data))
 		if name == f.request && name != "" {
 			f.seq = p.ack - 1
--- a/review/standin/endpoint.go
+++ b/review/standin/endpoint.go
@@ -17,8 +17,9 @@
 	heartbeatInterval = 770 * time.Millisecond
 	// heartbeatRetry is the time after which an endpoint repeats a heartbeat that failed.
 	heartbeatRetry = 150 * time.Millisecond
-	workTime       = 25 * time.Millisecond
-	slots          = 5
+	// defaultWorkTime is the time that an endpoint takes for a request.
+	defaultWorkTime = 25 * time.Millisecond
+	slots           = 5
 	// maxSends is how often an endpoint sends a packet, with 8 retransmissions.
 	maxSends = 9
 )
@@ -174,7 +175,7 @@
 	request := string(p.data)
 	name := requestID(request)
 	e.world.ran(e, name)
-	time.AfterFunc(workTime, func() {
+	time.AfterFunc(e.world.workTime, func() {
 		e.mutex.Lock()
 		defer e.mutex.Unlock()
 		body := "done " + name
--- a/review/standin/fronts.go
+++ b/review/standin/fronts.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -120,6 +121,8 @@
 	// nextFront is the number of the next front machine.
 	nextFront int
 	stop      chan struct{}
+	// burstUntil is the end of the last burst, as a time of the case.
+	burstUntil atomic.Int64
 }
 
 // serviceAddress is the address of the route. Nothing listens there.
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -16,6 +16,7 @@
 
 // cases are the cases that can be played. Each returns whether the rule held.
 var cases = map[string]func(w *world, trouble bool) (bool, error){
+	"routes-moved":         routesMoved,
 	"fronts-after-outage":  frontsAfterOutage,
 	"fronts-after-release": frontsAfterRelease,
 }
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/base64"
 	"encoding/json"
 	"net"
@@ -46,6 +47,8 @@
 	lastLease uint64
 	// silentUntil is the end of an outage, in which no call is executed or answered.
 	silentUntil time.Time
+	// connections counts the connections so far. Those up to silenced get no answer any more.
+	connections, silenced uint64
 	// staleness is how old the answers to reads with staleOk are.
 	staleness time.Duration
 	past      []snapshot
@@ -70,12 +73,17 @@
 	mux.HandleFunc("DELETE /orioledyke/kv-lease-end/{id}", s.endLease)
 	s.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		time.Sleep(answerTime)
-		if s.silent() {
+		if s.silent() || s.isSilenced(r) {
 			<-r.Context().Done()
 			return
 		}
 		mux.ServeHTTP(w, r)
-	})}
+	}), ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		s.connections++
+		return context.WithValue(ctx, connectionKey{}, s.connections)
+	}}
 	go func() { _ = s.server.Serve(listener) }()
 	go func() {
 		for {
@@ -92,6 +100,24 @@
 	return time.Now().Before(s.silentUntil)
 }
 
+// connectionKey is the key of a connection's number in the contexts of its requests.
+type connectionKey struct{}
+
+// isSilenced reports whether the connection of a request has gone silent.
+func (s *metadataStore) isSilenced(r *http.Request) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	number, _ := r.Context().Value(connectionKey{}).(uint64)
+	return number <= s.silenced
+}
+
+// silenceConnections makes all open connections go silent for good. New ones work.
+func (s *metadataStore) silenceConnections() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.silenced = s.connections
+}
+
 // fail makes the store silent for d. With lapse, all leases run out meanwhile.
 func (s *metadataStore) fail(d time.Duration, lapse bool) {
 	s.mutex.Lock()
@@ -225,6 +251,7 @@
 		}
 		changed, revision, silent := s.changed, s.revision, time.Now().Before(s.silentUntil)
 		s.mutex.Unlock()
+		silent = silent || s.isSilenced(r)
 		if len(events) > 0 && !silent {
 			answer(w, http.StatusOK, map[string]any{"events": events, "storeRevision": revision})
 			return
@@ -234,7 +261,7 @@
 		case <-r.Context().Done():
 			return
 		case <-deadline:
-			if s.silent() {
+			if s.silent() || s.isSilenced(r) {
 				<-r.Context().Done()
 				return
 			}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -34,23 +35,33 @@
 	mutex     sync.Mutex
 	recorded  *os.File
 	processes []*process
+	// lifecycle is held while a process is started, and during the end. No process is started
+	// once ended is set.
+	lifecycle sync.Mutex
+	ended     bool
 	endpoints []*endpoint
 	requests  int
 	runs      map[string]int
 	// served counts the requests that were answered.
 	served int
-	resets []reset
+	// workTime is the time that an endpoint takes for a request.
+	workTime time.Duration
+	resets   []reset
 }
 
 // reset is a reset that a client has got.
 type reset struct {
 	at       time.Duration
 	bySystem bool
+	// front is the front machine that took the client's last packet.
+	front netip.Addr
 	// holder is the endpoint that had the flow open at that time, nil if none did.
 	holder *endpoint
 	client netip.AddrPort
 }
 
+var errEnded = errors.New("the case has ended")
+
 // process is a process of the system.
 type process struct {
 	world     *world
@@ -72,7 +83,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{folder: folder, startedAt: time.Now(), recorded: recorded, runs: map[string]int{}}
+	w := &world{workTime: defaultWorkTime, folder: folder, startedAt: time.Now(), recorded: recorded, runs: map[string]int{}}
 	for range 50 {
 		w.network = byte(30 + rand.IntN(190))
 		base := uint16(20000 + 10*rand.IntN(900))
@@ -129,7 +140,7 @@
 }
 
 func (w *world) wasReset(f *clientFlow, bySystem bool) {
-	r := reset{at: w.now(), bySystem: bySystem, client: f.id.client}
+	r := reset{at: w.now(), bySystem: bySystem, client: f.id.client, front: f.node}
 	w.mutex.Lock()
 	endpoints := w.endpoints
 	w.mutex.Unlock()
@@ -142,7 +153,8 @@
 	w.mutex.Lock()
 	w.resets = append(w.resets, r)
 	w.mutex.Unlock()
-	w.record("client %s: RESET (by the system: %t), waits for %q, flow open at endpoint %s", f.id.client, bySystem, f.request, holder)
+	w.record("client %s: RESET (by the system: %t), waits for %q, last packet through %s, flow open at endpoint %s",
+		f.id.client, bySystem, f.request, f.node, holder)
 }
 
 // settingsText fills in a template of the deploy file.
@@ -186,6 +198,11 @@
 }
 
 func (p *process) start() error {
+	p.world.lifecycle.Lock()
+	defer p.world.lifecycle.Unlock()
+	if p.world.ended {
+		return errEnded
+	}
 	log, err := os.OpenFile(filepath.Join(p.world.folder, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -223,8 +240,14 @@
 
 // close ends all processes and removes the temporary folder.
 func (w *world) close() {
+	w.lifecycle.Lock()
+	defer w.lifecycle.Unlock()
+	if w.ended {
+		return
+	}
+	w.ended = true
 	for _, p := range w.processes {
-		if p.running() {
+		if p.done != nil && p.running() {
 			_ = p.command.Process.Kill()
 			<-p.done
 		}
