--- a/internal/flow/relay/message.go
+++ b/internal/flow/relay/message.go
@@ -118,6 +118,8 @@
 	// Interval is the time until the sender's next report.
 	Interval clock.Millis
 	Load     Load
+	// Work is what the sidecar has learned of the upstream's work.
+	Work Work
 	// Addresses are addresses of routes to which the upstream may hold flows, at most
 	// MaxReportAddresses. They may belong to routes that now have other targets.
 	Addresses []netip.AddrPort
--- a/internal/flow/relay/report.go
+++ b/internal/flow/relay/report.go
@@ -26,6 +26,19 @@
 	MaxReportAddresses = 32
 )
 
+// Work is what a sidecar has learned of its upstream's work, in a report.
+type Work struct {
+	// Known is set if the sender states its work.
+	Known bool
+	// Remaining is the expected remaining work of all requests in progress and expected,
+	// summed over the slots.
+	Remaining clock.Millis
+	// ServiceTime is the expected time of one more request in milliseconds, without waiting.
+	ServiceTime float64
+	// Failed and Ended count the failed requests and all requests that have ended lately.
+	Failed, Ended int
+}
+
 func (r *Report) append(b []byte) []byte {
 	flags := byte(flagAddresses)
 	if r.AllListed && len(r.Addresses) <= MaxReportAddresses {
