placement: Age the reported load by what the slots process

A balancer kept the requests of a sidecar's report until the next one and added its own flows. A queue is processed in about 100 ms and reports come every 200 ms or more, so all balancers took a sidecar for full long after it had become idle.

placement.Backlog subtracts what the slots have processed since the report, by the work time that the report states (relay.Work). Without one, the bound that sidecars keep when they admit is used: the queue takes half of the longest latency goal of the service's routes. Without a goal nothing is subtracted. The balancer uses the estimate to rank sidecars and to leave out full ones.

Measured: unit tests of placement, balancer and node pass. The effect under load is not measured yet.

--- a/internal/flow/balancer/balancer.go
+++ b/internal/flow/balancer/balancer.go
@@ -159,7 +159,9 @@
 	changedServices map[identity.ServiceID]bool
 	// joins counts how often a sidecar has joined each service, or has come back after it
 	// was lost.
-	joins   map[identity.ServiceID]int
+	joins map[identity.ServiceID]int
+	// goals holds the longest latency goal of the routes to each service, 0 if one has none.
+	goals   map[identity.ServiceID]clock.Millis
 	holders holders
 	flows   map[segment.Key]*flow
 	// waiting holds the pending flows that no sidecar can take now.
@@ -252,9 +254,27 @@
 	}
 	b.holders.addTargets(now, b.table)
 	b.table = t
+	b.goals = longestGoals(t)
 	return true
 }
 
+// longestGoals returns the longest latency goal of the routes to each service, 0 if one has
+// none.
+func longestGoals(t *route.Table) map[identity.ServiceID]clock.Millis {
+	goals := map[identity.ServiceID]clock.Millis{}
+	for r := range t.Routes() {
+		for _, target := range r.Targets {
+			goal, known := goals[target.Service]
+			if known && (goal == 0 || r.LatencyGoal == 0) {
+				goals[target.Service] = 0
+			} else {
+				goals[target.Service] = max(goal, r.LatencyGoal)
+			}
+		}
+	}
+	return goals
+}
+
 // Table returns the configuration in effect, or nil if there is none.
 func (b *Balancer) Table() *route.Table { return b.table }
 
--- a/internal/flow/balancer/pendingflow.go
+++ b/internal/flow/balancer/pendingflow.go
@@ -139,7 +139,7 @@
 			p.outstanding++
 			p.attemptedAt, p.deadline = now, now+b.responseTimes.timeout()
 			heap.Push(&b.attempts, attempt{flow: p, deadline: p.deadline})
-			sc.placed++
+			sc.backlog.Place(now)
 			f.owner = sc.address
 			b.sendTo(sc.address, relay.Message{
 				Kind: relay.KindForward, Service: p.service, LatencyGoal: p.latencyGoal, PastGoal: p.pastGoal(now), Packet: p.packet,
--- a/internal/flow/balancer/sidecar.go
+++ b/internal/flow/balancer/sidecar.go
@@ -6,6 +6,7 @@
 
 	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/internal/common/identity"
+	"github.com/orioledyke/orioledyke/internal/flow/placement"
 	"github.com/orioledyke/orioledyke/internal/flow/relay"
 )
 
@@ -57,9 +58,8 @@
 	address  netip.AddrPort
 	report   relay.Report
 	lastSeen clock.Millis
-	// placed counts the flows placed on this sidecar since its last report, less one for
-	// each later response.
-	placed int
+	// backlog estimates the requests at the upstream.
+	backlog placement.Backlog
 	// unresponsiveAt is when a response of the sidecar was last found overdue.
 	unresponsiveAt clock.Millis
 	// unresponsive is set from then until the sidecar responds or has a new incarnation.
@@ -110,7 +110,7 @@
 	if now < sc.busyUntil || (pastGoal && now < sc.pastGoalBusyUntil) {
 		return true
 	}
-	return int(sc.report.Load.Active)+sc.placed >= maxRequestsPerSlot*max(sc.report.Slots, 1)
+	return sc.backlog.Requests(now)+1 > float64(maxRequestsPerSlot*max(sc.report.Slots, 1))
 }
 
 // markBusy records that the sidecar was too busy for a flow. One that is too busy for a
@@ -126,7 +126,7 @@
 // by warmupFactor during warm-up, plus remoteCost for a sidecar in another data centre and
 // unresponsiveCost for one that did not respond.
 func (sc *sidecar) cost(now clock.Millis, dataCentre string) float64 {
-	load := float64(int(sc.report.Load.Active)+sc.placed) + openFlowCost*float64(sc.report.Load.Flows)
+	load := sc.backlog.Requests(now) + openFlowCost*float64(sc.report.Load.Flows)
 	if sc.report.Warmup > 0 {
 		load = (load + 1) * warmupFactor
 	}
@@ -159,7 +159,8 @@
 		sc.unresponsive = false
 	}
 	b.setLost(sc, false)
-	sc.report, sc.lastSeen, sc.placed = r, now, 0
+	sc.report, sc.lastSeen = r, now
+	sc.backlog.ApplyReport(now, r, b.goals[r.Service])
 	if r.Departed {
 		b.removeFromService(sc)
 		delete(b.sidecars, from)
@@ -220,7 +221,7 @@
 	if sc := b.sidecars[from]; sc != nil {
 		sc.report.Load, sc.lastSeen, sc.unresponsive = load, now, false
 		b.setLost(sc, false)
-		sc.placed = max(sc.placed-1, 0)
+		sc.backlog.ApplyLoad(now, load)
 	}
 }
 
--- /dev/null
+++ b/internal/flow/placement/backlog.go
@@ -0,0 +1,99 @@
+// Package placement estimates the work at each sidecar and chooses the sidecar that
+// completes a new flow's request first. The load that it addresses is one at which reports
+// are older than the work they show: upstreams process the queue of a report within about
+// 100 ms, while reports come every 200 ms or more.
+package placement
+
+import (
+	"math"
+
+	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/flow/relay"
+)
+
+// goalShare is the share of a latency goal within which sidecars process the requests that
+// they admit; see maxGoalShare in package sidecar. It bounds the work time of sidecars whose
+// reports state none.
+const goalShare = 0.5
+
+// Backlog estimates the requests at one upstream: those of the last load that its sidecar
+// has stated, and the flows placed since, less what the slots have processed since.
+type Backlog struct {
+	slots float64
+	// workTime is the time in milliseconds in which a slot processes one request; 0 means
+	// unknown.
+	workTime float64
+	// goal is the longest latency goal of the service's routes; 0 means none.
+	goal clock.Millis
+	// learned is set if workTime is from the sidecar.
+	learned bool
+	// stated and placed are the requests at the time at: those in the last load of the
+	// sidecar, and own flows that may not be in it.
+	stated, placed float64
+	at             clock.Millis
+}
+
+// ApplyReport replaces the estimate by a report. goal is the longest latency goal of the
+// routes to the service, 0 if one has none.
+func (b *Backlog) ApplyReport(now clock.Millis, r relay.Report, goal clock.Millis) {
+	b.slots, b.goal = float64(max(r.Slots, 1)), goal
+	b.placed = 0
+	b.learned = r.Work.Known && r.Work.ServiceTime > 0
+	if b.learned {
+		b.workTime = r.Work.ServiceTime
+		if r.Work.Remaining > 0 && r.Load.Active > 0 {
+			b.workTime = float64(r.Work.Remaining) / float64(r.Load.Active)
+		}
+	}
+	b.set(now, r.Load)
+}
+
+// ApplyLoad replaces the stated load by that of a response to a flow that was placed on the
+// sidecar.
+func (b *Backlog) ApplyLoad(now clock.Millis, load relay.Load) {
+	b.advance(now)
+	b.placed = max(b.placed-1, 0)
+	b.set(now, load)
+}
+
+// Place counts a flow that is placed on the sidecar now.
+func (b *Backlog) Place(now clock.Millis) {
+	b.advance(now)
+	b.placed++
+}
+
+// Requests returns the estimated number of requests at the upstream.
+func (b *Backlog) Requests(now clock.Millis) float64 {
+	return b.aged(b.stated+b.placed, now-b.at)
+}
+
+func (b *Backlog) set(now clock.Millis, load relay.Load) {
+	b.at, b.stated = now, float64(load.Active)
+	if !b.learned {
+		b.workTime = goalShare * float64(b.goal) * b.slots / max(b.stated, b.slots)
+	}
+}
+
+// advance moves the estimate to the time now.
+func (b *Backlog) advance(now clock.Millis) {
+	if total := b.stated + b.placed; total > 0 {
+		left := b.aged(total, now-b.at) / total
+		b.stated, b.placed = b.stated*left, b.placed*left
+	}
+	b.at = max(b.at, now)
+}
+
+// aged returns what is left of a number of requests after the given time. While requests
+// wait, every slot is busy. Afterwards each of the rest ends within a mean of workTime.
+func (b *Backlog) aged(requests float64, age clock.Millis) float64 {
+	if b.workTime <= 0 || age <= 0 {
+		return requests
+	}
+	left := float64(age) / b.workTime
+	if queue := requests - b.slots; queue > 0 {
+		busy := min(queue/b.slots, left)
+		requests -= busy * b.slots
+		left -= busy
+	}
+	return requests * math.Exp(-left)
+}
--- /dev/null
+++ b/internal/flow/placement/backlog_test.go
@@ -0,0 +1,65 @@
+package placement_test
+
+import (
+	"math"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/flow/placement"
+	"github.com/orioledyke/orioledyke/internal/flow/relay"
+)
+
+func report(slots int, active uint16, work relay.Work) relay.Report {
+	return relay.Report{Slots: slots, Load: relay.Load{Active: active}, Work: work}
+}
+
+// Guards against sidecars that count as full until their next report although their slots
+// have processed the reported queue, and against an estimate that falls faster than the
+// slots work.
+func TestBacklogIsProcessedSinceReport(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct {
+		work relay.Work
+		goal clock.Millis
+		age  clock.Millis
+		want float64
+	}{
+		{work: relay.Work{Known: true, ServiceTime: 30}, age: 0, want: 8},
+		{work: relay.Work{Known: true, ServiceTime: 30}, age: 30, want: 6},
+		{work: relay.Work{Known: true, ServiceTime: 30}, age: 90, want: 2},
+		{work: relay.Work{Known: true, ServiceTime: 30}, age: 120, want: 2 / math.E},
+		// The requests in progress are costlier than the next one.
+		{work: relay.Work{Known: true, ServiceTime: 30, Remaining: 480}, age: 60, want: 6},
+		// Without stated work, the queue takes half of the goal.
+		{goal: 240, age: 30, want: 6},
+		{goal: 0, age: 1000, want: 8},
+		{work: relay.Work{Known: true, ServiceTime: 30}, age: -50, want: 8},
+	} {
+		var b placement.Backlog
+		b.ApplyReport(1000, report(2, 8, test.work), test.goal)
+		got := b.Requests(1000 + test.age)
+		c.Check(math.Abs(got-test.want) < 1e-9, qt.IsTrue, qt.Commentf("%+v: %v", test, got))
+	}
+}
+
+// Guards against own flows that are counted twice, forgotten before a load contains them,
+// or counted forever after a lost response.
+func TestBacklogCountsOwnFlowsUntilStated(t *testing.T) {
+	c := qt.New(t)
+	var b placement.Backlog
+	b.ApplyReport(0, report(2, 0, relay.Work{Known: true, ServiceTime: 30}), 0)
+	for range 3 {
+		b.Place(0)
+	}
+	c.Assert(b.Requests(0), qt.Equals, 3.)
+	b.ApplyLoad(0, relay.Load{Active: 1})
+	c.Assert(b.Requests(0), qt.Equals, 3.)
+	b.ApplyLoad(0, relay.Load{Active: 2})
+	b.ApplyLoad(0, relay.Load{Active: 5})
+	c.Assert(b.Requests(0), qt.Equals, 5.)
+	b.Place(0)
+	c.Assert(b.Requests(500) < 0.01, qt.IsTrue)
+	b.ApplyReport(500, report(2, 1, relay.Work{Known: true, ServiceTime: 30}), 0)
+	c.Assert(b.Requests(500), qt.Equals, 1.)
+}
