placement: Choose the sidecar with the earliest expected completion

Balancers compare sidecars by requests for each slot, which prefers slow upstreams over faster ones with one request more. The selection visits and copies all sidecars of a service three times.

The cost of a sidecar is now the expected time to the response, from the work that its report states, aged by the report's age. Sidecars that state no work are compared by requests as before. A weight from a function of the configuration divides into the cost; with weight 0 a sidecar gets trial flows only.

--- a/internal/flow/balancer/balancer.go
+++ b/internal/flow/balancer/balancer.go
@@ -10,6 +10,7 @@
 	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/internal/common/identity"
 	"github.com/orioledyke/orioledyke/internal/flow/bulk"
+	"github.com/orioledyke/orioledyke/internal/flow/placement"
 	"github.com/orioledyke/orioledyke/internal/flow/relay"
 	"github.com/orioledyke/orioledyke/internal/flow/route"
 	"github.com/orioledyke/orioledyke/internal/flow/segment"
@@ -143,6 +144,10 @@
 	// LossChanged is called when a sidecar begins or ceases to count as lost, with the time
 	// since its last message. It may be nil.
 	LossChanged func(sidecar netip.AddrPort, lost bool, silence clock.Millis)
+	// Weight returns the share of new work, from 0 to 1, that a sidecar gets in comparison
+	// with a faultless one. With 0 it gets trial flows only. It is called with each report of
+	// the sidecar. If Weight is nil, all weights are 1.
+	Weight func(sidecar netip.AddrPort) float64
 	// Observe receives every decision, except those to forward a packet to a known owner.
 	// It may be nil.
 	Observe func(Event)
@@ -161,9 +166,13 @@
 	// was lost.
 	joins map[identity.ServiceID]int
 	// goals holds the longest latency goal of the routes to each service, 0 if one has none.
-	goals   map[identity.ServiceID]clock.Millis
-	holders holders
-	flows   map[segment.Key]*flow
+	goals map[identity.ServiceID]clock.Millis
+	// placements holds what is known of the sidecars of each service together. choice holds
+	// the candidates of the current decision.
+	placements map[identity.ServiceID]*placement.Service
+	choice     placement.Choice[*sidecar]
+	holders    holders
+	flows      map[segment.Key]*flow
 	// waiting holds the pending flows that no sidecar can take now.
 	waiting []*pendingFlow
 	// nextPoll is when the balancer next tries to place the waiting flows.
@@ -234,12 +243,17 @@
 	if config.AllReported == nil {
 		config.AllReported = func() bool { return true }
 	}
+	if config.Weight == nil {
+		config.Weight = func(netip.AddrPort) float64 { return 1 }
+	}
 	return &Balancer{
 		config:          config,
 		sidecars:        map[netip.AddrPort]*sidecar{},
 		services:        map[identity.ServiceID][]*sidecar{},
 		changedServices: map[identity.ServiceID]bool{},
 		joins:           map[identity.ServiceID]int{},
+		placements:      map[identity.ServiceID]*placement.Service{},
+		choice:          placement.Choice[*sidecar]{Random: config.Random},
 		holders:         newHolders(),
 		flows:           map[segment.Key]*flow{},
 		link:            bulk.NewLink(config.LinkRate), pacer: bulk.NewPacer(config.LinkRate),
--- a/internal/flow/balancer/bench_test.go
+++ b/internal/flow/balancer/bench_test.go
@@ -1,6 +1,8 @@
 package balancer_test
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"testing"
@@ -8,6 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/common/identity"
 	"github.com/orioledyke/orioledyke/internal/flow/balancer"
 	"github.com/orioledyke/orioledyke/internal/flow/relay"
 	"github.com/orioledyke/orioledyke/internal/flow/route"
@@ -123,3 +126,57 @@
 	b.ReportMetric(float64(first)/forwardTime.Seconds(), "balancer-datagrams/s")
 	b.ReportMetric(relayTime.Seconds()/forwardTime.Seconds(), "ratio")
 }
+
+// BenchmarkPlaceNewFlow measures the decision about a new flow, with the copy of its packet
+// and the response of the sidecar: with all sidecars in one service, and with as many
+// services as routes.
+func BenchmarkPlaceNewFlow(b *testing.B) {
+	for name, services := range map[string]int{"one-service": 1, "service-for-each-route": targetRoutes} {
+		b.Run(name, func(b *testing.B) { benchmarkPlacement(b, services) })
+	}
+}
+
+func benchmarkPlacement(b *testing.B, services int) {
+	var to netip.AddrPort
+	random := rand.New(rand.NewPCG(1, 1))
+	lb := balancer.New(balancer.Config{
+		DataCentre: "dc-0",
+		Decode:     func(data []byte) (segment.Segment, error) { return platform.DecodeSegment(data, false) },
+		Reset:      platform.EncodeReset,
+		ToSidecar:  func(recipient netip.AddrPort, _ []byte) { to = recipient },
+		ToClient:   func(netip.Addr, []byte) {},
+		Random:     random.IntN,
+	})
+	service := func(i int) identity.ServiceID { return platform.ServiceID(fmt.Sprint("service-", i%services)) }
+	var routes []route.Route
+	for i := range targetRoutes {
+		routes = append(routes, route.Route{
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(i >> 8), byte(i)}), 443),
+			Targets: []route.Target{{Service: service(i), Weight: 1}}, LatencyGoal: 250,
+		})
+	}
+	lb.SetTable(0, route.NewTable(route.Config{Version: 1, Routes: routes}))
+	for i := range targetSidecars {
+		host := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, byte(i >> 8), byte(i)}), 7000)
+		lb.HandleSidecar(0, host, relay.Message{Kind: relay.KindReport, Report: relay.Report{
+			Service: service(i), DataCentre: fmt.Sprint("dc-", i%11), Accepting: true, Slots: 2, Interval: 5000,
+			Load: relay.Load{Active: uint16(i % 4)}, Work: relay.Work{Known: true, ServiceTime: 30},
+		}})
+	}
+	keys, packets := make([]segment.Key, targetFlows), make([][]byte, targetFlows)
+	for i := range packets {
+		from := netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(i >> 8), byte(i)}), 40001)
+		keys[i] = segment.NewKey(from, routes[i%targetRoutes].Address)
+		packets[i] = platform.EncodeReset(segment.NewKey(keys[i].Service(), from), 7)
+		packets[i][0] = openFlags
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		lb.HandleClient(1, packets[i%targetFlows])
+		lb.HandleSidecar(1, to, relay.Message{Kind: relay.KindAccepted, Key: keys[i%targetFlows], Load: relay.Load{Active: 1}})
+	}
+	if lb.Count(balancer.OutcomeAccepted) != uint64(b.N) {
+		b.Fatalf("%d of %d flows were accepted", lb.Count(balancer.OutcomeAccepted), b.N)
+	}
+}
--- a/internal/flow/balancer/pendingflow.go
+++ b/internal/flow/balancer/pendingflow.go
@@ -33,6 +33,8 @@
 	// latencyGoal is the latency goal of the flow's route; 0 means none. openTimeout is how
 	// long the client waits for the flow to open.
 	latencyGoal, openTimeout clock.Millis
+	// repeatable comes from the flow's route.
+	repeatable bool
 	// attempted holds the sidecars that have got the request, without those that were
 	// too busy for it.
 	attempted []netip.AddrPort
@@ -107,7 +109,7 @@
 		f.service, f.bulk, f.repeatable = r.Service(s.Key), r.Bulk, r.Repeatable
 		f.pending = &pendingFlow{
 			key: s.Key, service: f.service, packet: bytes.Clone(packet), firstSent: now - requestAge(retransmissions),
-			latencyGoal: r.LatencyGoal, openTimeout: openTimeout(r.Timeout),
+			latencyGoal: r.LatencyGoal, openTimeout: openTimeout(r.Timeout), repeatable: r.Repeatable,
 		}
 	}
 	f.pending.retransmissions = max(f.pending.retransmissions, retransmissions)
--- a/internal/flow/balancer/sidecar.go
+++ b/internal/flow/balancer/sidecar.go
@@ -29,13 +29,14 @@
 	// must not be repeated: their responses are worth waiting for. Killed processes and
 	// hosts without power are usually back earlier.
 	returnTimeout = 5 * clock.Second
-	// openFlowCost is the load that each open flow adds, as a fraction of a slot. Requests
-	// in progress count in addition, each as a whole slot.
+	// openFlowCost is the load that each open flow adds, as a fraction of a request.
+	// Requests in progress count in addition, each as a whole one.
 	openFlowCost = 0.03
-	// warmupFactor multiplies the load of an upstream that has just started.
+	// warmupFactor multiplies the cost of an upstream that has just started.
 	warmupFactor = 1.6
-	// remoteCost is added to the load per slot of a sidecar in another data centre, to
-	// reduce traffic between data centres.
+	// remoteCost is added to the cost of a sidecar in another data centre, to reduce
+	// traffic between data centres. Like unresponsiveCost, it is a multiple of the time of
+	// one request.
 	remoteCost = 0.1
 	// unresponsiveCost is added for a sidecar that did not respond, so that it is
 	// selected last.
@@ -72,6 +73,10 @@
 	pingedAt clock.Millis
 	// unlisted is set if the sidecar may hold flows to addresses that it does not list.
 	unlisted bool
+	// weight is the weight from Config.Weight as of the last report. nextTrial is when the
+	// next trial flow may go to the sidecar while its weight is 0.
+	weight    float64
+	nextTrial clock.Millis
 	// busyUntil is the time until which no new flow at all is placed on the sidecar.
 	// pastGoalBusyUntil is the time until which no flow past its latency goal is placed
 	// on the sidecar.
@@ -110,7 +115,7 @@
 	if now < sc.busyUntil || (pastGoal && now < sc.pastGoalBusyUntil) {
 		return true
 	}
-	return sc.backlog.Requests(now)+1 > float64(maxRequestsPerSlot*max(sc.report.Slots, 1))
+	return !sc.backlog.Below(now, float64(maxRequestsPerSlot*max(sc.report.Slots, 1)-1))
 }
 
 // markBusy records that the sidecar was too busy for a flow. One that is too busy for a
@@ -122,20 +127,23 @@
 	}
 }
 
-// cost ranks sidecars for a new flow; the lowest is best. It is the load per slot, raised
-// by warmupFactor during warm-up, plus remoteCost for a sidecar in another data centre and
-// unresponsiveCost for one that did not respond.
+// cost ranks sidecars for a new flow; the lowest is best. It is the expected time to the
+// response in milliseconds, raised by warmupFactor during warm-up if the sidecar states no
+// work, by remoteCost for a sidecar in another data centre and by unresponsiveCost for one
+// that did not respond, and divided by the weight.
 func (sc *sidecar) cost(now clock.Millis, dataCentre string) float64 {
-	load := sc.backlog.Requests(now) + openFlowCost*float64(sc.report.Load.Flows)
-	if sc.report.Warmup > 0 {
-		load = (load + 1) * warmupFactor
+	cost := sc.backlog.Completion(now, openFlowCost*float64(sc.report.Load.Flows))
+	if sc.report.Warmup > 0 && !sc.backlog.Learned() {
+		cost *= warmupFactor
 	}
-	cost := load / float64(max(sc.report.Slots, 1))
 	if sc.report.DataCentre != dataCentre {
-		cost += remoteCost
+		cost += remoteCost * sc.backlog.ServiceTime()
 	}
 	if sc.unresponsive && (now-sc.unresponsiveAt < unresponsiveBackoff || sc.lastSeen <= sc.unresponsiveAt) {
-		cost += unresponsiveCost
+		cost += unresponsiveCost * sc.backlog.ServiceTime()
+	}
+	if sc.weight > 0 {
+		cost /= sc.weight
 	}
 	return cost
 }
@@ -148,7 +156,7 @@
 		return
 	}
 	if sc == nil {
-		sc = &sidecar{address: from}
+		sc = &sidecar{address: from, weight: 1}
 		b.sidecars[from] = sc
 		b.addToService(sc, r.Service)
 	} else if sc.report.Service != r.Service {
@@ -160,7 +168,8 @@
 	}
 	b.setLost(sc, false)
 	sc.report, sc.lastSeen = r, now
-	sc.backlog.ApplyReport(now, r, b.goals[r.Service])
+	sc.backlog.ApplyReport(now, r, b.placementOf(r.Service), b.goals[r.Service])
+	b.setWeight(now, sc, b.config.Weight(from))
 	if r.Departed {
 		b.removeFromService(sc)
 		delete(b.sidecars, from)
@@ -277,6 +286,7 @@
 	members = slices.DeleteFunc(slices.Clone(members), func(m *sidecar) bool { return m == sc })
 	if len(members) == 0 {
 		delete(b.services, sc.report.Service)
+		delete(b.placements, sc.report.Service)
 		return
 	}
 	b.services[sc.report.Service] = members
@@ -334,60 +344,3 @@
 	}
 	return count
 }
-
-// selectSidecar selects a sidecar for a new flow among the usable ones that were not
-// attempted yet and are not full. The first attempt takes the cheaper of two random
-// sidecars, so that balancers that know the same loads do not all select the same one. One
-// of the two is in this data centre, if any is, so that fewer packets leave it.
-// Later attempts take the cheapest of all. If there is no sidecar to select, best is nil,
-// and full reports whether a usable sidecar that was not attempted yet is full.
-func (b *Balancer) selectSidecar(now clock.Millis, p *pendingFlow) (best *sidecar, full bool) {
-	var candidates []*sidecar
-	pastGoal := p.pastGoal(now)
-	for _, sc := range b.services[p.service] {
-		switch {
-		case !sc.usable(now) || slices.Contains(p.attempted, sc.address):
-		case sc.full(now, pastGoal):
-			full = true
-		default:
-			candidates = append(candidates, sc)
-		}
-	}
-	if len(candidates) == 0 {
-		return nil, full
-	}
-	if len(p.attempted) > 0 || len(candidates) < 3 {
-		return b.cheapest(now, candidates), false
-	}
-	first := b.randomOf(local(candidates, b.config.DataCentre))
-	others := slices.DeleteFunc(slices.Clone(candidates), func(sc *sidecar) bool { return sc == first })
-	return b.cheapest(now, []*sidecar{first, b.randomOf(others)}), false
-}
-
-// randomOf returns a random one of the given sidecars.
-func (b *Balancer) randomOf(sidecars []*sidecar) *sidecar {
-	return sidecars[b.config.Random(len(sidecars))]
-}
-
-// local returns the sidecars in a data centre or, if there are none, all.
-func local(sidecars []*sidecar, dataCentre string) []*sidecar {
-	found := slices.DeleteFunc(slices.Clone(sidecars), func(sc *sidecar) bool { return sc.report.DataCentre != dataCentre })
-	if len(found) == 0 {
-		return sidecars
-	}
-	return found
-}
-
-func (b *Balancer) cheapest(now clock.Millis, candidates []*sidecar) *sidecar {
-	return slices.MinFunc(candidates, func(x, y *sidecar) int {
-		costX, costY := x.cost(now, b.config.DataCentre), y.cost(now, b.config.DataCentre)
-		switch {
-		case costX < costY:
-			return -1
-		case costX > costY:
-			return 1
-		default:
-			return 0
-		}
-	})
-}
--- a/internal/flow/placement/backlog.go
+++ b/internal/flow/placement/backlog.go
@@ -23,9 +23,11 @@
 	// workTime is the time in milliseconds in which a slot processes one request; 0 means
 	// unknown.
 	workTime float64
+	// serviceTime is the time in milliseconds of one more request without waiting.
+	serviceTime float64
 	// goal is the longest latency goal of the service's routes; 0 means none.
 	goal clock.Millis
-	// learned is set if workTime is from the sidecar.
+	// learned is set if workTime and serviceTime are from the sidecar.
 	learned bool
 	// stated and placed are the requests at the time at: those in the last load of the
 	// sidecar, and own flows that may not be in it.
@@ -33,16 +35,20 @@
 	at             clock.Millis
 }
 
-// ApplyReport replaces the estimate by a report. goal is the longest latency goal of the
-// routes to the service, 0 if one has none.
-func (b *Backlog) ApplyReport(now clock.Millis, r relay.Report, goal clock.Millis) {
+// ApplyReport replaces the estimate by a report. service is that of the sidecar and learns
+// from the report. goal is the longest latency goal of the routes to the service, 0 if one
+// has none.
+func (b *Backlog) ApplyReport(now clock.Millis, r relay.Report, service *Service, goal clock.Millis) {
+	service.Learn(r.Work)
 	b.slots, b.goal = float64(max(r.Slots, 1)), goal
 	b.placed = 0
 	b.learned = r.Work.Known && r.Work.ServiceTime > 0
+	b.serviceTime = service.usual(float64(goal))
 	if b.learned {
-		b.workTime = r.Work.ServiceTime
+		b.serviceTime = service.limit(r.Work.ServiceTime)
+		b.workTime = b.serviceTime
 		if r.Work.Remaining > 0 && r.Load.Active > 0 {
-			b.workTime = float64(r.Work.Remaining) / float64(r.Load.Active)
+			b.workTime = service.limit(float64(r.Work.Remaining) / float64(r.Load.Active))
 		}
 	}
 	b.set(now, r.Load)
@@ -67,6 +73,28 @@
 	return b.aged(b.stated+b.placed, now-b.at)
 }
 
+// Below reports whether the estimated number of requests is at most the given one.
+func (b *Backlog) Below(now clock.Millis, requests float64) bool {
+	return b.stated+b.placed <= requests || b.Requests(now) <= requests
+}
+
+// Completion returns the expected time in milliseconds until the response to one more
+// request: its own time and the wait for a slot. extra is further load in requests.
+func (b *Backlog) Completion(now clock.Millis, extra float64) float64 {
+	waitTime := b.serviceTime
+	if b.learned {
+		waitTime = b.workTime
+	}
+	return b.serviceTime + (b.Requests(now)+extra)/b.slots*waitTime
+}
+
+// ServiceTime returns the expected time in milliseconds of one more request without
+// waiting.
+func (b *Backlog) ServiceTime() float64 { return b.serviceTime }
+
+// Learned reports whether the estimate is based on work that the sidecar has stated.
+func (b *Backlog) Learned() bool { return b.learned }
+
 func (b *Backlog) set(now clock.Millis, load relay.Load) {
 	b.at, b.stated = now, float64(load.Active)
 	if !b.learned {
--- a/internal/flow/placement/backlog_test.go
+++ b/internal/flow/placement/backlog_test.go
@@ -37,7 +37,7 @@
 		{work: relay.Work{Known: true, ServiceTime: 30}, age: -50, want: 8},
 	} {
 		var b placement.Backlog
-		b.ApplyReport(1000, report(2, 8, test.work), test.goal)
+		b.ApplyReport(1000, report(2, 8, test.work), new(placement.Service), test.goal)
 		got := b.Requests(1000 + test.age)
 		c.Check(math.Abs(got-test.want) < 1e-9, qt.IsTrue, qt.Commentf("%+v: %v", test, got))
 	}
@@ -48,7 +48,7 @@
 func TestBacklogCountsOwnFlowsUntilStated(t *testing.T) {
 	c := qt.New(t)
 	var b placement.Backlog
-	b.ApplyReport(0, report(2, 0, relay.Work{Known: true, ServiceTime: 30}), 0)
+	b.ApplyReport(0, report(2, 0, relay.Work{Known: true, ServiceTime: 30}), new(placement.Service), 0)
 	for range 3 {
 		b.Place(0)
 	}
@@ -60,6 +60,6 @@
 	c.Assert(b.Requests(0), qt.Equals, 5.)
 	b.Place(0)
 	c.Assert(b.Requests(500) < 0.01, qt.IsTrue)
-	b.ApplyReport(500, report(2, 1, relay.Work{Known: true, ServiceTime: 30}), 0)
+	b.ApplyReport(500, report(2, 1, relay.Work{Known: true, ServiceTime: 30}), new(placement.Service), 0)
 	c.Assert(b.Requests(500), qt.Equals, 1.)
 }
