relay, flow/sidecar: Report the work of an upstream

Reports carry flag 64 and 8 bytes of work after the addresses. A first version fills them from the mean work time of requests that found a free slot, and counts failed requests (error status, reset during a request, no response within 5 s) of the last 2 s.

go test ./internal/flow/relay ./internal/flow/sidecar ./internal/flow/node passes.

--- a/internal/flow/node/sidecar.go
+++ b/internal/flow/node/sidecar.go
@@ -375,7 +375,7 @@
 		Incarnation: n.incarnation, Service: platform.ServiceID(n.sidecarSettings.Service), DataCentre: n.settings.DataCentre,
 		Accepting: n.machine.Accepting(), Departed: n.departed || n.absent, Stopping: n.stopping, Slots: current.Slots,
 		Warmup: n.registration.Warmup(n.clock.Now()), Interval: n.currentReportInterval, Load: n.machine.Load(),
-		Addresses: addresses, AllListed: all,
+		Addresses: addresses, AllListed: all, Work: n.machine.Work(n.clock.Now()),
 	}}
 	data, err := m.Append(nil)
 	if err != nil {
--- a/internal/flow/relay/message_test.go
+++ b/internal/flow/relay/message_test.go
@@ -37,6 +37,10 @@
 			Addresses: []netip.AddrPort{netip.MustParseAddrPort("198.18.0.1:443"), netip.MustParseAddrPort("198.18.0.2:8443")},
 		}},
 		{Kind: relay.KindReport, Report: relay.Report{Service: service, DataCentre: "hope"}},
+		{Kind: relay.KindReport, Report: relay.Report{
+			Service: service, DataCentre: "hope", Addresses: []netip.AddrPort{netip.MustParseAddrPort("198.18.0.1:443")},
+			Work: relay.Work{Known: true, Remaining: 70_000, ServiceTime: 13.2, Failed: 3, Ended: 20},
+		}},
 		{Kind: relay.KindDigest, Digest: relay.Digest{
 			Version: 3, Interval: 70_000, ReportInterval: 200,
 			Balancers: []netip.Addr{netip.MustParseAddr("10.1.0.1"), netip.MustParseAddr("10.1.0.2")},
@@ -67,7 +71,10 @@
 // addresses were left out.
 func TestReportLimits(t *testing.T) {
 	c := qt.New(t)
-	full := relay.Report{DataCentre: strings.Repeat("d", 300), AllListed: true}
+	full := relay.Report{
+		DataCentre: strings.Repeat("d", 300), AllListed: true,
+		Work: relay.Work{Known: true, Remaining: 1 << 40, ServiceTime: 1e9, Failed: 1, Ended: 10_000},
+	}
 	for i := range relay.MaxReportAddresses + 1 {
 		full.Addresses = append(full.Addresses, netip.AddrPortFrom(netip.MustParseAddr("198.18.0.1"), uint16(i+1)))
 	}
@@ -80,6 +87,8 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(decoded.Report.Addresses, qt.HasLen, relay.MaxReportAddresses)
 	c.Assert(decoded.Report.AllListed, qt.IsFalse)
+	// A small share of failures is not scaled down to none.
+	c.Assert(decoded.Report.Work, qt.Equals, relay.Work{Known: true, Remaining: 1<<32 - 1, ServiceTime: 6553, Failed: 1, Ended: 255})
 
 	older := append([]byte{byte(relay.KindReport), 1}, make([]byte, headerSize-2)...)
 	decoded, err = relay.Decode(append(older, "hope"...))
--- a/internal/flow/relay/report.go
+++ b/internal/flow/relay/report.go
@@ -2,16 +2,18 @@
 
 import (
 	"encoding/binary"
+	"math"
 
 	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/internal/common/identity"
 )
 
 // An encoded report consists of the kind, flags, incarnation, service, slots, warm-up,
-// interval, load, the number of addresses, the addresses, and the data centre up to the
-// end of the datagram. Without flagAddresses, the number of addresses and the addresses
-// are missing. Receivers without that flag take them for a part of the data centre, which
-// is harmless as long as the length is valid.
+// interval, load, the number of addresses, the addresses, the work, and the data centre up
+// to the end of the datagram. Without flagAddresses, the number of addresses and the
+// addresses are missing, and without flagWork the work is. Receivers that do not know a flag
+// take its part for a part of the data centre, which is harmless as long as the length is
+// valid.
 const (
 	reportHeaderSize = 2 + identity.OwnerIDSize + identity.ServiceIDSize + 2 + 4 + 2 + 4
 	// maxReportTail is the maximum length of what follows the header.
@@ -21,7 +23,14 @@
 	flagAddresses  = 4
 	flagAllListed  = 8
 	flagStopping   = 16
+	flagWork       = 64
 	maxReportSlots = 1<<16 - 1
+	// workSize is the size of the encoded work: the remaining work in ms (4), the time of one
+	// more request in ms times serviceTimeScale (2), and the failed and ended requests (1 each).
+	workSize         = 8
+	serviceTimeScale = 10
+	maxServiceTime   = (1<<16 - 1) / serviceTimeScale
+	maxRequestCount  = 1<<8 - 1
 	// MaxReportAddresses is the maximum number of addresses in a report.
 	MaxReportAddresses = 32
 )
@@ -35,10 +44,35 @@
 	Remaining clock.Millis
 	// ServiceTime is the expected time of one more request in milliseconds, without waiting.
 	ServiceTime float64
-	// Failed and Ended count the failed requests and all requests that have ended lately.
+	// Failed and Ended count the failed requests and all requests that have ended or failed
+	// in the last two seconds, at most 255 and scaled down together.
 	Failed, Ended int
 }
 
+// append appends the encoded work to b. Values beyond the limits of the format are encoded as
+// the limit. More than maxRequestCount requests are scaled down, so that the share of failed
+// ones is kept and stays above 0.
+func (w Work) append(b []byte) []byte {
+	failed, ended := max(w.Failed, 0), max(w.Ended, w.Failed, 0)
+	if ended > maxRequestCount {
+		failed = (failed*maxRequestCount + ended - 1) / ended
+		ended = maxRequestCount
+	}
+	serviceTime := min(max(w.ServiceTime, 0), maxServiceTime)
+	b = binary.BigEndian.AppendUint32(b, uint32(min(max(w.Remaining, 0), 1<<32-1)))
+	b = binary.BigEndian.AppendUint16(b, uint16(math.Round(serviceTime*serviceTimeScale)))
+	return append(b, byte(failed), byte(ended))
+}
+
+// decodeWork decodes the first workSize bytes of b.
+func decodeWork(b []byte) Work {
+	return Work{
+		Known: true, Remaining: clock.Millis(binary.BigEndian.Uint32(b)),
+		ServiceTime: float64(binary.BigEndian.Uint16(b[4:])) / serviceTimeScale,
+		Failed:      int(b[6]), Ended: max(int(b[6]), int(b[7])),
+	}
+}
+
 func (r *Report) append(b []byte) []byte {
 	flags := byte(flagAddresses)
 	if r.AllListed && len(r.Addresses) <= MaxReportAddresses {
@@ -53,6 +87,9 @@
 	if r.Stopping {
 		flags |= flagStopping
 	}
+	if r.Work.Known {
+		flags |= flagWork
+	}
 	var ids [identity.OwnerIDSize + identity.ServiceIDSize]byte
 	identity.PutUint48(ids[:], uint64(r.Incarnation))
 	identity.PutUint40(ids[identity.OwnerIDSize:], uint64(r.Service))
@@ -69,6 +106,10 @@
 		b = appendAddress(b, address)
 	}
 	rest := maxReportTail - 1 - len(addresses)*addressSize
+	if r.Work.Known {
+		b = r.Work.append(b)
+		rest -= workSize
+	}
 	return append(b, r.DataCentre[:min(len(r.DataCentre), rest)]...)
 }
 
@@ -103,6 +144,13 @@
 		}
 		r.AllListed = data[1]&flagAllListed != 0
 	}
+	if data[1]&flagWork != 0 {
+		if len(tail) < workSize {
+			return Report{}, errInvalidMessage
+		}
+		r.Work = decodeWork(tail)
+		tail = tail[workSize:]
+	}
 	r.DataCentre = string(tail)
 	return r, nil
 }
--- a/internal/flow/sidecar/request.go
+++ b/internal/flow/sidecar/request.go
@@ -65,12 +65,21 @@
 	f.request = request{}
 }
 
-func (s *Sidecar) trackResponse(now clock.Millis, f *flow, p segment.Segment) {
+// responseStatus returns the status of a response that begins in a packet, or 0 if none does
+// or the status is not available.
+func (s *Sidecar) responseStatus(packet []byte) int {
+	if s.config.ResponseStatus == nil {
+		return 0
+	}
+	return s.config.ResponseStatus(packet)
+}
+
+func (s *Sidecar) trackResponse(now clock.Millis, f *flow, p segment.Segment, packet []byte) {
 	f.upstreamFinished = f.upstreamFinished || p.Ends
-	if (p.Length > 0 || p.Ends) && f.busy {
-		f.busy = false
-		s.activeRequests--
-		if !f.queued {
+	if (p.Length > 0 || p.Ends || p.Resets) && f.busy {
+		failed := p.Resets || s.responseStatus(packet) >= minErrorStatus
+		s.endRequest(now, f, failed)
+		if !f.queued && !failed {
 			s.capacity.observe(now - f.requestCompletedAt)
 		}
 	}
--- a/internal/flow/sidecar/sidecar.go
+++ b/internal/flow/sidecar/sidecar.go
@@ -14,6 +14,7 @@
 	"github.com/orioledyke/orioledyke/internal/common/identity"
 	"github.com/orioledyke/orioledyke/internal/flow/relay"
 	"github.com/orioledyke/orioledyke/internal/flow/segment"
+	"github.com/orioledyke/orioledyke/internal/flow/worktime"
 )
 
 const (
@@ -165,6 +166,8 @@
 	flowCount        int
 	search           search
 	capacity         capacity
+	// outcomes counts the requests of the last seconds.
+	outcomes worktime.Outcomes
 	// unansweredOffers counts the offers since the last packet of the upstream. A
 	// retransmitted request for the same flow counts again.
 	unansweredOffers int
@@ -452,8 +455,7 @@
 	for key, f := range s.flows {
 		idle := now - f.lastSeen
 		if f.busy && now-f.lastRequestPacket > requestTTL {
-			f.busy = false
-			s.activeRequests--
+			s.endRequest(now, f, true)
 			s.recordOutcome(OutcomeAbandoned, key, f, 0, now)
 		}
 		if idle > flowTTL || (idle > closedTTL && f.finished()) || (idle > unopenedTTL && f.state != stateOpen) {
--- a/internal/flow/sidecar/upstream.go
+++ b/internal/flow/sidecar/upstream.go
@@ -52,7 +52,7 @@
 		s.claim(f, p.Key)
 	}
 	s.noteResponse(now, f, p, packet)
-	s.trackResponse(now, f, p)
+	s.trackResponse(now, f, p, packet)
 	s.counts[OutcomeReplied]++
 	s.config.ToClient(p.Key.Client().Addr(), packet)
 	if p.Resets {
