--- /dev/null
+++ b/internal/flow/worktime/simulation_test.go
@@ -0,0 +1,93 @@
+package worktime_test
+
+import (
+	"math/rand/v2"
+	"net/netip"
+
+	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/flow/worktime"
+)
+
+var (
+	lookups  = netip.MustParseAddrPort("198.18.0.1:443")
+	bookings = netip.MustParseAddrPort("198.18.0.2:443")
+)
+
+// job is a request at the simulated upstream.
+type job struct {
+	request *worktime.Request
+	// work is how long the upstream works on it, and left how much of that is left.
+	work, left clock.Millis
+}
+
+// simulation drives a Tracker with an upstream of 2 slots, a millisecond at a time.
+type simulation struct {
+	random  *rand.Rand
+	tracker worktime.Tracker
+	now     clock.Millis
+	// workTime returns the work time of a request to an address, and address that of the next
+	// request. next returns the index of the waiting request that a free slot takes.
+	workTime func(address netip.AddrPort) float64
+	address  func() netip.AddrPort
+	next     func(waiting int) int
+	// perSecond is the mean number of requests a second.
+	perSecond float64
+	// overdue counts the requests that the tracker has reported as overdue.
+	overdue          int
+	running, waiting []*job
+}
+
+func newSimulation(seed uint64) *simulation {
+	s := &simulation{
+		random: rand.New(rand.NewPCG(seed, 1)), perSecond: 30, now: 1000,
+		workTime: func(netip.AddrPort) float64 { return 13 },
+		address:  func() netip.AddrPort { return lookups },
+		next:     func(int) int { return 0 },
+	}
+	s.tracker.SetSlots(2)
+	s.tracker.SetGoal(200)
+	return s
+}
+
+// run advances the simulation. New requests arrive only while fewer than 12 wait.
+func (s *simulation) run(duration clock.Millis) {
+	for end := s.now + duration; s.now < end; s.now++ {
+		if s.now%200 == 0 {
+			s.overdue += len(s.tracker.Expire(s.now))
+		}
+		if s.random.Float64() < s.perSecond/1000 && len(s.waiting) < 12 {
+			address := s.address()
+			work := clock.Millis(max(s.workTime(address), 1) + s.random.Float64())
+			s.waiting = append(s.waiting, &job{request: s.tracker.Begin(s.now, address), work: work, left: work})
+		}
+		for len(s.running) < 2 && len(s.waiting) > 0 {
+			i := s.next(len(s.waiting))
+			s.running = append(s.running, s.waiting[i])
+			s.waiting = append(s.waiting[:i], s.waiting[i+1:]...)
+		}
+		for i := len(s.running) - 1; i >= 0; i-- {
+			j := s.running[i]
+			if j.left--; j.left <= 0 {
+				s.running = append(s.running[:i], s.running[i+1:]...)
+				s.tracker.End(s.now+1, j.request, true)
+			}
+		}
+	}
+}
+
+// remaining returns the work in milliseconds that is left of all requests.
+func (s *simulation) remaining() (sum float64) {
+	for _, j := range append(append([]*job(nil), s.running...), s.waiting...) {
+		sum += float64(j.left)
+	}
+	return sum
+}
+
+// heavyTail returns work times with a mean of 13 ms, 3% of which are seven times the others.
+func (s *simulation) heavyTail(netip.AddrPort) float64 {
+	usual := 11 * (0.7 + 0.6*s.random.Float64())
+	if s.random.Float64() < 0.03 {
+		return 7 * usual
+	}
+	return usual
+}
