flow/sidecar, platform: Admit by expected work and count failures by cause

hasCapacity compared a count of requests with a mean. It now predicts when a slot is free from the expected remaining work. Reports state failed requests: error status, not executed, silence for several times the usual time, reset or end of a flow during a request, flows that are lost or never accepted, and flows that are returned although a slot is idle.

Repeated packets of an answered request no longer count as a request in progress for 5 s.

--- a/internal/flow/node/sidecar.go
+++ b/internal/flow/node/sidecar.go
@@ -98,7 +98,7 @@
 		ToClient:   b.toClient,
 		Self:       s.RelayAddress,
 		ToPeer:     func(to netip.AddrPort, data []byte) { b.send(b.relayConn, to, data) },
-		RequestID:  platform.RequestID, ResponseStatus: platform.ResponseStatus, MaxDataSize: platform.MaxDataSize,
+		RequestID:  platform.RequestID, ResponseStatus: platform.ResponseStatus, NotExecuted: platform.NotExecuted, MaxDataSize: platform.MaxDataSize,
 		Observe: n.observe,
 	})
 	n.machine.SetService(platform.ServiceID(s.Service))
--- a/internal/flow/sidecar/flow.go
+++ b/internal/flow/sidecar/flow.go
@@ -5,6 +5,7 @@
 
 	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/internal/flow/locator"
+	"github.com/orioledyke/orioledyke/internal/flow/worktime"
 )
 
 // flow is a flow that the upstream holds or may hold, or one that was offered to it.
@@ -24,16 +25,19 @@
 	firstPosition uint32
 	lastSeen      clock.Millis
 	// lastRequestPacket is the time of the client's last data packet that was not full.
-	// requestCompletedAt is the time since which the request in progress counts as work.
-	// busy is set while a request is in progress.
-	lastRequestPacket, requestCompletedAt clock.Millis
-	busy                                  bool
+	lastRequestPacket clock.Millis
+	// work is the request in progress, nil if there is none.
+	work *worktime.Request
+	// dataEnd is the position behind the client's last data byte. hasData is set if the
+	// client has sent data.
+	dataEnd uint32
+	hasData bool
 	// awaitingRequest is set while the first request of a new flow is expected.
-	// queued is set if the last request found no free slot.
-	awaitingRequest, queued bool
-	request                 request
-	clientFinished          bool
-	upstreamFinished        bool
+	// offerSettled is set when the upstream has responded to the offer.
+	awaitingRequest, offerSettled bool
+	request                       request
+	clientFinished                bool
+	upstreamFinished              bool
 }
 
 // finished reports whether both ends have closed the flow.
--- a/internal/flow/sidecar/request.go
+++ b/internal/flow/sidecar/request.go
@@ -15,18 +15,33 @@
 // trackRequest counts a request as in progress from its last packet until the upstream
 // sends data or ends the flow, or until requestTTL has passed. A full packet is assumed
 // not to be the last one of a request, so that an upload takes a slot only when it is complete.
+// A retransmission of a request that has ended is none.
 func (s *Sidecar) trackRequest(now clock.Millis, f *flow, p segment.Segment) {
 	f.clientFinished = f.clientFinished || p.Ends
-	if p.Length == 0 || p.Length == s.config.MaxDataSize {
+	if p.Resets && f.work != nil {
+		s.work.Cancel(now, f.work)
+		f.work = nil
+	}
+	if p.Length == 0 {
 		return
 	}
-	s.capacity.stopExpecting(f)
-	if !f.busy && !f.upstreamFinished {
-		f.busy, f.requestCompletedAt = true, now
-		s.activeRequests++
-		f.queued = s.activeRequests > s.capacity.slots
+	end := p.Sequence + uint32(p.Length)
+	isNew := !f.hasData || int32(end-f.dataEnd) > 0
+	if isNew {
+		f.dataEnd, f.hasData = end, true
+	}
+	if p.Length == s.config.MaxDataSize {
+		return
 	}
+	s.capacity.stopExpecting(f)
 	f.lastRequestPacket = now
+	switch {
+	case !isNew || f.upstreamFinished:
+	case f.work != nil:
+		s.work.Restart(now, f.work)
+	default:
+		f.work = s.work.Begin(now, p.Key.Service())
+	}
 }
 
 // recordArrival records the request that begins in a client's packet, if one does.
@@ -35,9 +50,9 @@
 		return
 	}
 	if id := s.config.RequestID(packet); id != "" && id != f.request.id {
-		f.request = request{id: id, arrivedAt: now, activeOnArrival: s.activeRequests}
+		f.request = request{id: id, arrivedAt: now, activeOnArrival: s.work.Active()}
 		s.record(Event{
-			Outcome: OutcomeReceived, Key: p.Key, Balancer: f.requester, Load: s.Load(), Request: id, Active: s.activeRequests,
+			Outcome: OutcomeReceived, Key: p.Key, Balancer: f.requester, Load: s.Load(), Request: id, Active: s.work.Active(),
 		})
 	}
 }
@@ -65,22 +80,28 @@
 	f.request = request{}
 }
 
-// responseStatus returns the status of a response that begins in a packet, or 0 if none does
-// or the status is not available.
-func (s *Sidecar) responseStatus(packet []byte) int {
-	if s.config.ResponseStatus == nil {
-		return 0
-	}
-	return s.config.ResponseStatus(packet)
-}
-
+// trackResponse ends the request in progress of a flow with the first data of its response or
+// with the end of the flow. A provisional response, such as 100, ends none.
 func (s *Sidecar) trackResponse(now clock.Millis, f *flow, p segment.Segment, packet []byte) {
 	f.upstreamFinished = f.upstreamFinished || p.Ends
-	if (p.Length > 0 || p.Ends || p.Resets) && f.busy {
-		failed := p.Resets || s.responseStatus(packet) >= minErrorStatus
-		s.endRequest(now, f, failed)
-		if !f.queued && !failed {
-			s.capacity.observe(now - f.requestCompletedAt)
-		}
+	if f.work == nil || (p.Length == 0 && !p.Ends && !p.Resets) {
+		return
+	}
+	status := 0
+	if p.Length > 0 && s.config.ResponseStatus != nil {
+		status = s.config.ResponseStatus(packet)
+	}
+	switch {
+	case p.Resets:
+		s.failRequest(now, f, FailureReset)
+	case p.Length == 0:
+		s.failRequest(now, f, FailureClosed)
+	case status >= minProvisionalStatus && status < minFinalStatus:
+	case s.config.NotExecuted != nil && s.config.NotExecuted(packet):
+		s.failRequest(now, f, FailureNotExecuted)
+	case status >= minErrorStatus && s.isUpstreamFault(p.Key.Client().Addr(), status):
+		s.failRequest(now, f, FailureStatus)
+	default:
+		s.endRequest(now, f, status < minErrorStatus)
 	}
 }
--- a/internal/flow/sidecar/sidecar.go
+++ b/internal/flow/sidecar/sidecar.go
@@ -39,6 +39,10 @@
 	// of all kinds, even to a single one, and by itself refuses no flow. Any packet from
 	// the upstream resets both.
 	unresponsiveTimeout clock.Millis = 250
+	// minProvisionalStatus and minFinalStatus are the lowest status of a response that is
+	// followed by another one, and of one that is not.
+	minProvisionalStatus = 100
+	minFinalStatus       = 200
 	// minErrorStatus is the lowest status of a response that is not a success.
 	minErrorStatus = 400
 	// maxFirstAckDistance is the maximum distance in bytes of a client's first
@@ -134,9 +138,12 @@
 	ToPeer     func(to netip.AddrPort, data []byte)
 	// RequestID returns the identifier of a request that begins in a packet, or "".
 	// ResponseStatus returns the status of a response that begins in a packet, or 0.
-	// Both are for logs and metrics only. Nil means that they are not available.
+	// Nil means that they are not available.
 	RequestID      func(packet []byte) string
 	ResponseStatus func(packet []byte) int
+	// NotExecuted reports whether a response that begins in a packet is marked as one to a
+	// request that the upstream has not executed. Nil means that it is not available.
+	NotExecuted func(packet []byte) bool
 	// MaxDataSize is the number of data bytes in a full packet.
 	MaxDataSize int
 	// Observe receives decisions about flows and requests. Deliveries and replies, which
@@ -162,12 +169,19 @@
 	// addressesChanged is set when an address has been added to addresses, or a learned
 	// one may have been, since the last call of TakeAddressesChanged.
 	addressesChanged bool
-	activeRequests   int
 	flowCount        int
 	search           search
 	capacity         capacity
-	// outcomes counts the requests of the last seconds.
+	// work follows the requests in progress. outcomes counts those of the last seconds, and
+	// failures the failed ones by cause.
+	work     worktime.Tracker
 	outcomes worktime.Outcomes
+	failures [FailureCount]uint64
+	// lastRejectedClient is the client that the last response with a status of its own fault
+	// went to.
+	lastRejectedClient netip.Addr
+	// offers holds the offers to which the upstream may still respond, in order of time.
+	offers []expectation
 	// unansweredOffers counts the offers since the last packet of the upstream. A
 	// retransmitted request for the same flow counts again.
 	unansweredOffers int
@@ -181,6 +195,7 @@
 	// awaitingSince.
 	awaitingUpstream bool
 	buffer           []byte
+	lastTick         clock.Millis
 	lastSweep        clock.Millis
 	counts           [OutcomeCount]uint64
 }
@@ -218,8 +233,9 @@
 // flows it holds.
 func (s *Sidecar) DropFlows() {
 	s.flows, s.addresses = map[segment.Key]*flow{}, map[netip.AddrPort]int{}
-	s.activeRequests, s.flowCount = 0, 0
+	s.flowCount, s.offers = 0, nil
 	s.capacity.reset()
+	s.work.Reset()
 	s.learning = true
 }
 
@@ -227,7 +243,7 @@
 // request is still expected.
 func (s *Sidecar) Load() relay.Load {
 	const limit = 1<<16 - 1
-	return relay.Load{Active: uint16(min(s.activeRequests+s.capacity.expectedRequests, limit)), Flows: uint16(min(s.flowCount, limit))}
+	return relay.Load{Active: uint16(min(s.work.Active()+s.capacity.expectedRequests, limit)), Flows: uint16(min(s.flowCount, limit))}
 }
 
 // Addresses returns the addresses of routes to which the upstream holds flows, in order,
@@ -277,7 +293,7 @@
 	if f != nil && f.state == stateProbed && !s.learning {
 		// The upstream has not responded to the probe, and it no longer holds
 		// flows that this process does not know.
-		s.remove(p.Key, f)
+		s.remove(now, p.Key, f)
 		f = nil
 	}
 	if f == nil || f.state == stateOffered || (f.state == stateAccepted && !s.acknowledgesAccept(f, p)) {
@@ -334,7 +350,7 @@
 	f := s.flows[p.Key]
 	if f != nil && f.finished() && p.Acknowledged == 0 {
 		// The client reuses the port of an earlier flow.
-		s.remove(p.Key, f)
+		s.remove(now, p.Key, f)
 		f = nil
 	}
 	if f == nil || f.state == stateOffered {
@@ -345,7 +361,7 @@
 		if reason == 0 && s.refuseForUnansweredOffers(now) {
 			reason = relay.ReasonSilent
 		}
-		if reason == 0 && f == nil && !s.hasCapacity(now, m) {
+		if reason == 0 && f == nil && !s.hasCapacity(now, m, p.Key.Service()) {
 			reason = relay.ReasonBusy
 		}
 		if reason != 0 {
@@ -357,6 +373,7 @@
 	if f == nil {
 		f = s.add(now, p.Key, stateOffered)
 		s.capacity.expect(now, f)
+		s.offers = append(s.offers, expectation{flow: f, since: now})
 	}
 	f.requester, f.searcher = from, netip.AddrPort{}
 	f.lastSeen = now
@@ -424,7 +441,7 @@
 	return f
 }
 
-func (s *Sidecar) remove(key segment.Key, f *flow) {
+func (s *Sidecar) remove(now clock.Millis, key segment.Key, f *flow) {
 	if s.flows[key] != f {
 		return
 	}
@@ -433,9 +450,11 @@
 		delete(s.addresses, key.Service())
 	}
 	s.capacity.stopExpecting(f)
+	f.offerSettled = true
 	s.flowCount--
-	if f.busy {
-		s.activeRequests--
+	if f.work != nil {
+		s.work.Cancel(now, f.work)
+		f.work = nil
 	}
 }
 
@@ -445,6 +464,7 @@
 	s.publish(now)
 	s.checkResponses(now)
 	s.capacity.expire(now)
+	s.findSilence(now)
 	if now-s.lastSweep < clock.Second {
 		return
 	}
@@ -454,12 +474,12 @@
 	})
 	for key, f := range s.flows {
 		idle := now - f.lastSeen
-		if f.busy && now-f.lastRequestPacket > requestTTL {
-			s.endRequest(now, f, true)
+		if f.work != nil && now-f.lastRequestPacket > requestTTL {
+			s.failRequest(now, f, FailureSilent)
 			s.recordOutcome(OutcomeAbandoned, key, f, 0, now)
 		}
 		if idle > flowTTL || (idle > closedTTL && f.finished()) || (idle > unopenedTTL && f.state != stateOpen) {
-			s.remove(key, f)
+			s.remove(now, key, f)
 		}
 	}
 }
--- a/internal/flow/sidecar/sidecar_test.go
+++ b/internal/flow/sidecar/sidecar_test.go
@@ -57,17 +57,21 @@
 	messages   []relay.Message
 	receivers  []netip.AddrPort
 	events     []sidecar.Event
+	// status is that of the upstream's responses, and notExecuted marks them.
+	status      int
+	notExecuted bool
 }
 
 func newHarness(t *testing.T) *harness {
-	h := &harness{c: qt.New(t)}
+	h := &harness{c: qt.New(t), status: 200}
 	h.sidecar = sidecar.New(sidecar.Config{
 		Decode: platform.DecodeSegment, ClearReturned: platform.ClearReturned,
 		ToUpstream:     func([]byte) { h.toUpstream++ },
 		ToClient:       func(netip.Addr, []byte) { h.toClient++ },
 		Self:           self,
 		RequestID:      func(raw []byte) string { return string(raw[34:36]) },
-		ResponseStatus: func([]byte) int { return 200 },
+		ResponseStatus: func([]byte) int { return h.status },
+		NotExecuted:    func([]byte) bool { return h.notExecuted },
 		Observe:        func(e sidecar.Event) { h.events = append(h.events, e) },
 		ToPeer: func(to netip.AddrPort, data []byte) {
 			m, err := relay.Decode(append([]byte(nil), data...))
--- a/internal/flow/sidecar/upstream.go
+++ b/internal/flow/sidecar/upstream.go
@@ -40,7 +40,7 @@
 	f.lastSeen = now
 	switch {
 	case p.Resets && !s.mayReset(f):
-		s.remove(p.Key, f)
+		s.remove(now, p.Key, f)
 		if f.searcher.IsValid() {
 			s.returnPacket(now, f.requester, f.searcher, p.Key, nil)
 		}
@@ -56,7 +56,7 @@
 	s.counts[OutcomeReplied]++
 	s.config.ToClient(p.Key.Client().Addr(), packet)
 	if p.Resets {
-		s.remove(p.Key, f)
+		s.remove(now, p.Key, f)
 	}
 }
 
@@ -68,6 +68,7 @@
 }
 
 func (s *Sidecar) handleAccepted(f *flow, p segment.Segment) {
+	f.offerSettled = true
 	if f.state == stateOffered {
 		f.state = stateAccepted
 		f.firstPosition = p.Sequence
@@ -89,12 +90,18 @@
 		if f.state != stateOffered {
 			return
 		}
-		s.remove(p.Key, f)
+		s.remove(now, p.Key, f)
+		if s.hasIdleSlot() {
+			s.countFailure(now, FailureRejected)
+		}
 		s.record(Event{Outcome: OutcomeReturned, Key: p.Key, Balancer: f.requester, Load: s.Load()})
 		s.respond(f.requester, relay.KindRefused, relay.ReasonReturned, p.Key)
 		return
 	}
-	s.remove(p.Key, f)
+	if f.work != nil {
+		s.failRequest(now, f, FailureLost)
+	}
+	s.remove(now, p.Key, f)
 	if f.state == stateOpen {
 		s.recordOutcome(OutcomeLost, p.Key, f, 0, now)
 	}
