--- a/internal/flow/node/metrics.go
+++ b/internal/flow/node/metrics.go
@@ -113,6 +113,7 @@
 		func() float64 { return float64(n.machine.Load().Flows) })
 	n.gaugeFunc("orioledyke_flow_sidecar_requests", "Requests in progress.",
 		func() float64 { return float64(n.machine.Load().Active) })
+	n.registerWorkMetrics()
 }
 
 // observe logs a decision about a flow or request, except for offers and invalid
