--- a/internal/flow/node/sidecar.go
+++ b/internal/flow/node/sidecar.go
@@ -98,7 +98,7 @@
 		ToClient:   b.toClient,
 		Self:       s.RelayAddress,
 		ToPeer:     func(to netip.AddrPort, data []byte) { b.send(b.relayConn, to, data) },
-		RequestID:  platform.RequestID, ResponseStatus: platform.ResponseStatus, MaxDataSize: platform.MaxDataSize,
+		RequestID:  platform.RequestID, ResponseStatus: platform.ResponseStatus, NotExecuted: platform.NotExecuted, MaxDataSize: platform.MaxDataSize,
 		Observe: n.observe,
 	})
 	n.machine.SetService(platform.ServiceID(s.Service))
@@ -375,7 +375,7 @@
 		Incarnation: n.incarnation, Service: platform.ServiceID(n.sidecarSettings.Service), DataCentre: n.settings.DataCentre,
 		Accepting: n.machine.Accepting(), Departed: n.departed || n.absent, Stopping: n.stopping, Slots: current.Slots,
 		Warmup: n.registration.Warmup(n.clock.Now()), Interval: n.currentReportInterval, Load: n.machine.Load(),
-		Addresses: addresses, AllListed: all,
+		Addresses: addresses, AllListed: all, Work: n.machine.Work(n.clock.Now()),
 	}}
 	data, err := m.Append(nil)
 	if err != nil {
