--- a/internal/flow/sidecar/work.go
+++ b/internal/flow/sidecar/work.go
@@ -63,10 +63,14 @@
 // Work returns what the sidecar has learned of its upstream's work, for a report.
 func (s *Sidecar) Work(now clock.Millis) relay.Work {
 	failed, ended := s.outcomes.Total(now)
-	return relay.Work{
+	w := relay.Work{
 		Known: true, Remaining: clock.Millis(s.work.Remaining(now, s.capacity.expectedRequests)),
-		ServiceTime: s.work.ServiceTime(), Failed: failed, Ended: ended,
+		Failed: failed, Ended: ended,
 	}
+	if s.work.Learned() {
+		w.ServiceTime = s.work.ServiceTime()
+	}
+	return w
 }
 
 // Costs returns the learned work times of requests in order of address.
--- a/internal/flow/worktime/tracker.go
+++ b/internal/flow/worktime/tracker.go
@@ -162,6 +162,10 @@
 // ServiceTime returns the expected time of one more request in milliseconds, without waiting.
 func (t *Tracker) ServiceTime() float64 { return t.learner.serviceTime() }
 
+// Learned reports whether enough requests have ended for ServiceTime to rest on them. An
+// upstream that gets few flows because of an assumed time would never correct it.
+func (t *Tracker) Learned() bool { return t.learner.all.weight+t.learner.all.held >= shiftedWeight }
+
 // Costs returns the learned work times in order of address.
 func (t *Tracker) Costs() []Cost { return t.learner.costs() }
 
