flow/outlier, flow/node: Find upstreams that fail while their siblings do not

An upstream that answers with errors or drops flows ends its requests soon, and so attracts more. Package outlier compares the failures that sidecars report with those of the siblings and derives a weight from 0 to 1. Placement does not use the weight yet.

--- a/internal/common/settings/flow.go
+++ b/internal/common/settings/flow.go
@@ -51,6 +51,9 @@
 // FlowBalancer holds the settings of a balancer for flows without a connection ID.
 type FlowBalancer struct {
 	FlowProcess `yaml:",inline"`
+	// MaxEjectedShare is the largest share of the upstreams of a service that get only trial
+	// flows at a time because they fail. With 0, failures do not affect placement.
+	MaxEjectedShare float64 `yaml:"max-ejected-share" rule:"third"`
 }
 
 func (b *FlowBalancer) check() Faults {
--- a/internal/common/settings/rule.go
+++ b/internal/common/settings/rule.go
@@ -46,6 +46,7 @@
 	"positive":  "a duration above zero with its unit, such as 500ms or 1s",
 	"rate":      "a number of megabits a second, such as 1000",
 	"ratio":     "a number from 0 to 1",
+	"third":     "a number from 0 to 0.33",
 }
 
 // labelPattern allows more than namePattern, because the platform may give any such
@@ -71,7 +72,7 @@
 	case time.Duration:
 		allowed = v > 0
 	case float64:
-		allowed = v >= 0 && (v <= 1 || r.kind == "rate")
+		allowed = v >= 0 && (v <= 1 || r.kind == "rate") && (v <= 1./3 || r.kind != "third")
 	case string:
 		allowed, reason = r.checkText(v)
 	}
--- a/internal/flow/balancer/balancer.go
+++ b/internal/flow/balancer/balancer.go
@@ -10,6 +10,7 @@
 	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/internal/common/identity"
 	"github.com/orioledyke/orioledyke/internal/flow/bulk"
+	"github.com/orioledyke/orioledyke/internal/flow/outlier"
 	"github.com/orioledyke/orioledyke/internal/flow/relay"
 	"github.com/orioledyke/orioledyke/internal/flow/route"
 	"github.com/orioledyke/orioledyke/internal/flow/segment"
@@ -143,6 +144,8 @@
 	// LossChanged is called when a sidecar begins or ceases to count as lost, with the time
 	// since its last message. It may be nil.
 	LossChanged func(sidecar netip.AddrPort, lost bool, silence clock.Millis)
+	// Outliers gets the failures that sidecars report. If it is nil, they are ignored.
+	Outliers *outlier.Tracker
 	// Observe receives every decision, except those to forward a packet to a known owner.
 	// It may be nil.
 	Observe func(Event)
--- a/internal/flow/balancer/sidecar.go
+++ b/internal/flow/balancer/sidecar.go
@@ -160,6 +160,7 @@
 	}
 	b.setLost(sc, false)
 	sc.report, sc.lastSeen, sc.placed = r, now, 0
+	b.observeFailures(now, from, r)
 	if r.Departed {
 		b.removeFromService(sc)
 		delete(b.sidecars, from)
--- a/internal/flow/node/balancer.go
+++ b/internal/flow/node/balancer.go
@@ -10,6 +10,7 @@
 	"github.com/orioledyke/orioledyke/internal/common/settings"
 	"github.com/orioledyke/orioledyke/internal/flow/balancer"
 	"github.com/orioledyke/orioledyke/internal/flow/configuration"
+	"github.com/orioledyke/orioledyke/internal/flow/outlier"
 	"github.com/orioledyke/orioledyke/internal/flow/peerset"
 	"github.com/orioledyke/orioledyke/internal/flow/relay"
 	"github.com/orioledyke/orioledyke/internal/flow/segment"
@@ -33,7 +34,10 @@
 // balancerNode is the process of a balancer.
 type balancerNode struct {
 	*base
-	machine    *balancer.Balancer
+	machine *balancer.Balancer
+	// outliers derives the weights of upstreams from their failures; nil if the settings
+	// switch it off.
+	outliers   *outlier.Tracker
 	sidecars   *peerset.Set
 	httpClient *http.Client
 	// timer fires at timerAt, the next deadline of the machine; 0 means that it is not set.
@@ -68,6 +72,9 @@
 		base: b, sidecars: peerset.New(s.RelayAddress.Addr()), versions: configuration.NewPeers(), fetchDue: make(chan struct{}, 1),
 		httpClient: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 	}
+	if s.MaxEjectedShare > 0 {
+		n.outliers = outlier.New(outlier.Config{MaxEjectedShare: s.MaxEjectedShare, Changed: n.logOutlier})
+	}
 	n.machine = balancer.New(balancer.Config{
 		DataCentre:  s.DataCentre,
 		LinkRate:    s.LinkRate,
@@ -78,6 +85,7 @@
 		Random:      random,
 		AllReported: n.allReported,
 		LossChanged: n.logLoss,
+		Outliers:    n.outliers,
 		Observe:     n.observe,
 	})
 	n.digests = &digests{node: n}
--- a/internal/flow/node/metrics.go
+++ b/internal/flow/node/metrics.go
@@ -65,6 +65,7 @@
 		})
 	n.gaugeFunc("orioledyke_flow_balancer_usable_sidecars", "Sidecars that may get new flows.",
 		func() float64 { return float64(n.machine.UsableSidecars(n.clock.Now())) })
+	n.registerOutlierMetrics()
 }
 
 // observe logs a decision about a flow, except for acceptances and invalid packets.
