--- a/internal/flow/balancer/balancer.go
+++ b/internal/flow/balancer/balancer.go
@@ -10,6 +10,7 @@
 	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/internal/common/identity"
 	"github.com/orioledyke/orioledyke/internal/flow/bulk"
+	"github.com/orioledyke/orioledyke/internal/flow/outlier"
 	"github.com/orioledyke/orioledyke/internal/flow/placement"
 	"github.com/orioledyke/orioledyke/internal/flow/relay"
 	"github.com/orioledyke/orioledyke/internal/flow/route"
@@ -144,9 +145,11 @@
 	// LossChanged is called when a sidecar begins or ceases to count as lost, with the time
 	// since its last message. It may be nil.
 	LossChanged func(sidecar netip.AddrPort, lost bool, silence clock.Millis)
+	// Outliers gets the failures that sidecars report. If it is nil, they are ignored.
+	Outliers *outlier.Tracker
 	// Weight returns the share of new work, from 0 to 1, that a sidecar gets in comparison
 	// with a faultless one. With 0 it gets trial flows only. It is called with each report of
-	// the sidecar. If Weight is nil, all weights are 1.
+	// the sidecar. If Weight is nil, the weights are those of Outliers or, without it, 1.
 	Weight func(sidecar netip.AddrPort) float64
 	// Observe receives every decision, except those to forward a packet to a known owner.
 	// It may be nil.
@@ -243,10 +246,7 @@
 	if config.AllReported == nil {
 		config.AllReported = func() bool { return true }
 	}
-	if config.Weight == nil {
-		config.Weight = func(netip.AddrPort) float64 { return 1 }
-	}
-	return &Balancer{
+	b := &Balancer{
 		config:          config,
 		sidecars:        map[netip.AddrPort]*sidecar{},
 		services:        map[identity.ServiceID][]*sidecar{},
@@ -258,6 +258,14 @@
 		flows:           map[segment.Key]*flow{},
 		link:            bulk.NewLink(config.LinkRate), pacer: bulk.NewPacer(config.LinkRate),
 	}
+	switch {
+	case config.Weight != nil:
+	case config.Outliers != nil:
+		b.config.Weight = func(sidecar netip.AddrPort) float64 { return config.Outliers.Weight(b.now, sidecar) }
+	default:
+		b.config.Weight = func(netip.AddrPort) float64 { return 1 }
+	}
+	return b
 }
 
 // SetTable puts a configuration into effect. It returns false, without effect, if the
--- a/internal/flow/balancer/sidecar.go
+++ b/internal/flow/balancer/sidecar.go
@@ -169,6 +169,7 @@
 	b.setLost(sc, false)
 	sc.report, sc.lastSeen = r, now
 	sc.backlog.ApplyReport(now, r, b.placementOf(r.Service), b.goals[r.Service])
+	b.observeFailures(now, from, r)
 	b.setWeight(now, sc, b.config.Weight(from))
 	if r.Departed {
 		b.removeFromService(sc)
