relay: Add directives, the reason evacuated and its report flag

Balancers and sidecars have to tell each other of evacuations and of the warm-up rate. Receivers ignore further bytes, unlike those of digests.

--- a/internal/flow/relay/message.go
+++ b/internal/flow/relay/message.go
@@ -52,6 +52,8 @@
 	// KindEpoch announces that the metadata store has been restored and is in a later
 	// epoch. It goes from balancers to all hosts.
 	KindEpoch
+	// KindDirectives carries the Directives that a process knows.
+	KindDirectives
 )
 
 // MaxMessage is the maximum length of a datagram in bytes.
@@ -78,11 +80,14 @@
 	ReasonStopping
 	// ReasonSilent means that the upstream does not respond.
 	ReasonSilent
+	// ReasonEvacuated means that the operator has evacuated the sidecar's data centre.
+	ReasonEvacuated
 )
 
 var reasonNames = map[Reason]string{
 	ReasonReturned: "returned", ReasonDraining: "draining", ReasonUnregistered: "unregistered",
 	ReasonOtherService: "other-service", ReasonBusy: "busy", ReasonStopping: "stopping", ReasonSilent: "silent",
+	ReasonEvacuated: "evacuated",
 }
 
 // String returns the reason's name in logs, or "" for an unknown one.
@@ -106,6 +111,9 @@
 	DataCentre string
 	// Accepting is set while the upstream takes new flows.
 	Accepting bool
+	// Evacuated is set while the sidecar knows that its data centre is evacuated. Accepting
+	// is clear then.
+	Evacuated bool
 	// Departed is set when the upstream has ended for good and holds no flow.
 	Departed bool
 	// Stopping is set when the sidecar stops and its upstream may go on. Another process
@@ -161,7 +169,8 @@
 	Report Report
 	Digest Digest
 	// Epoch is the epoch of the store that a KindEpoch message announces.
-	Epoch store.Epoch
+	Epoch      store.Epoch
+	Directives Directives
 }
 
 const (
@@ -188,8 +197,8 @@
 
 var errInvalidMessage = errors.New("relay: datagram is not a message of this protocol")
 
-// Append appends the encoded message to b. It returns an error for an unknown kind and
-// for a digest with more than MaxHosts hosts.
+// Append appends the encoded message to b. It returns an error for an unknown kind, for a
+// digest with more than MaxHosts hosts, and for directives with too many records.
 func (m *Message) Append(b []byte) ([]byte, error) {
 	switch m.Kind {
 	case KindForward, KindNotHeld, KindSearch:
@@ -225,6 +234,8 @@
 		return m.Report.append(b), nil
 	case KindDigest:
 		return m.Digest.append(b)
+	case KindDirectives:
+		return m.Directives.append(b)
 	default:
 		return b, errInvalidMessage
 	}
@@ -330,6 +341,10 @@
 		var err error
 		m.Digest, err = decodeDigest(data)
 		return m, err
+	case KindDirectives:
+		var err error
+		m.Directives, err = decodeDirectives(data)
+		return m, err
 	default:
 		return Message{}, errInvalidMessage
 	}
--- a/internal/flow/relay/message_test.go
+++ b/internal/flow/relay/message_test.go
@@ -8,8 +8,10 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/google/go-cmp/cmp/cmpopts"
 	"github.com/orioledyke/orioledyke/internal/common/identity"
+	"github.com/orioledyke/orioledyke/internal/flow/evacuation"
 	"github.com/orioledyke/orioledyke/internal/flow/relay"
 	"github.com/orioledyke/orioledyke/internal/flow/segment"
+	"github.com/orioledyke/orioledyke/internal/flow/store"
 )
 
 var key = segment.NewKey(netip.MustParseAddrPort("100.64.0.7:40001"), netip.MustParseAddrPort("198.18.0.1:443"))
@@ -36,7 +38,11 @@
 			Load: relay.Load{Active: 1, Flows: 2}, AllListed: true,
 			Addresses: []netip.AddrPort{netip.MustParseAddrPort("198.18.0.1:443"), netip.MustParseAddrPort("198.18.0.2:8443")},
 		}},
-		{Kind: relay.KindReport, Report: relay.Report{Service: service, DataCentre: "hope"}},
+		{Kind: relay.KindReport, Report: relay.Report{Service: service, DataCentre: "hope", Evacuated: true}},
+		{Kind: relay.KindDirectives},
+		{Kind: relay.KindDirectives, Directives: relay.Directives{Version: 9, WarmupRate: 12.5, Evacuations: []evacuation.Record{
+			{DataCentre: "hope", Evacuated: true, Revision: store.Revision{Epoch: 2, Number: 1 << 40}}, {DataCentre: "surrey"},
+		}}},
 		{Kind: relay.KindDigest, Digest: relay.Digest{
 			Version: 3, Interval: 70_000, ReportInterval: 200,
 			Balancers: []netip.Addr{netip.MustParseAddr("10.1.0.1"), netip.MustParseAddr("10.1.0.2")},
@@ -57,6 +63,7 @@
 		c.Assert(decoded.LatencyGoal, qt.Equals, m.LatencyGoal)
 		c.Assert(decoded.PastGoal, qt.Equals, m.PastGoal)
 		c.Assert(decoded.Epoch, qt.Equals, m.Epoch)
+		c.Assert(decoded.Directives, qt.DeepEquals, m.Directives)
 		c.Assert(decoded.Report, qt.CmpEquals(cmpopts.EquateComparable(netip.AddrPort{})), m.Report)
 		c.Assert(decoded.Digest, qt.CmpEquals(cmpopts.EquateComparable(netip.Addr{})), m.Digest)
 	}
@@ -88,11 +95,45 @@
 	c.Assert(decoded.Report.AllListed, qt.IsFalse)
 }
 
+// Guards against directives that do not fit into a datagram, that are read beyond their end,
+// or whose layout differs from the one that is documented, and against a low warm-up rate
+// that is taken for none.
+func TestDirectivesLimits(t *testing.T) {
+	c := qt.New(t)
+	var full relay.Directives
+	for i := range evacuation.MaxRecords {
+		full.Evacuations = append(full.Evacuations, evacuation.Record{DataCentre: strings.Repeat(string(rune('0'+i)), evacuation.MaxNameLength)})
+	}
+	m := relay.Message{Kind: relay.KindDirectives, Directives: full}
+	data, err := m.Append(nil)
+	c.Assert(err, qt.IsNil)
+	c.Assert(len(data) <= relay.MaxMessage, qt.IsTrue)
+	m.Directives.Evacuations = append(full.Evacuations, evacuation.Record{})
+	_, err = m.Append(nil)
+	c.Assert(err, qt.IsNotNil)
+
+	m.Directives = relay.Directives{Version: 258, WarmupRate: 0.01, Evacuations: []evacuation.Record{
+		{DataCentre: "hope", Evacuated: true, Revision: store.Revision{Epoch: 2, Number: 259}},
+	}}
+	data, err = m.Append(nil)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(data), qt.Equals, "\x0e\x00\x00\x00\x00\x00\x00\x01\x02\x00\x01\x01"+
+		"\x01\x00\x00\x00\x00\x00\x00\x00\x02\x00\x00\x00\x00\x00\x00\x01\x03\x04hope")
+	for length := range len(data) {
+		_, err := relay.Decode(data[:length])
+		c.Assert(err, qt.IsNotNil)
+	}
+	decoded, err := relay.Decode(append(data, 7))
+	c.Assert(err, qt.IsNil)
+	c.Assert(decoded.Directives.Evacuations, qt.DeepEquals, m.Directives.Evacuations)
+}
+
 // Guards against a crash on a malformed datagram from an unauthenticated sender.
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte{byte(relay.KindForward), 1, 0, 0, 0, 0, 0, 9})
 	f.Add([]byte{byte(relay.KindReport), '{', '}'})
 	f.Add(append([]byte{byte(relay.KindDigest)}, make([]byte, 22)...))
+	f.Add(append([]byte{byte(relay.KindDirectives)}, "-version--r\x01f--epoch---number-\x04hope"...))
 	f.Add(append(append([]byte{byte(relay.KindDigest)}, make([]byte, 16)...), 255, 255, 0, 0, 0, 0, 1))
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		// Only a panic is a failure.
--- a/internal/flow/relay/report.go
+++ b/internal/flow/relay/report.go
@@ -21,6 +21,7 @@
 	flagAddresses  = 4
 	flagAllListed  = 8
 	flagStopping   = 16
+	flagEvacuated  = 32
 	maxReportSlots = 1<<16 - 1
 	// MaxReportAddresses is the maximum number of addresses in a report.
 	MaxReportAddresses = 32
@@ -53,6 +54,9 @@
 	if r.Stopping {
 		flags |= flagStopping
 	}
+	if r.Evacuated {
+		flags |= flagEvacuated
+	}
 	var ids [identity.OwnerIDSize + identity.ServiceIDSize]byte
 	identity.PutUint48(ids[:], uint64(r.Incarnation))
 	identity.PutUint40(ids[identity.OwnerIDSize:], uint64(r.Service))
@@ -81,6 +85,7 @@
 		Accepting:   data[1]&flagAccepting != 0,
 		Departed:    data[1]&flagDeparted != 0,
 		Stopping:    data[1]&flagStopping != 0,
+		Evacuated:   data[1]&flagEvacuated != 0,
 		Legacy:      data[1]&flagAddresses == 0,
 		Incarnation: identity.OwnerID(identity.GetUint48(b)),
 		Service:     identity.ServiceID(identity.GetUint40(b[identity.OwnerIDSize:])),
