balancer, sidecar: Keep new flows out of evacuated data centres

A sidecar whose data centre is evacuated refuses new flows with the reason evacuated and reports that it does not accept; open flows continue. A balancer does not select sidecars of evacuated data centres, and refuses a flow at once if only evacuations keep the sidecars of its service from taking it. A refusal as evacuated does not count as an attempt, because all sidecars of the data centre refuse.

--- a/internal/flow/balancer/balancer.go
+++ b/internal/flow/balancer/balancer.go
@@ -88,6 +88,9 @@
 	OutcomeExpired
 	// OutcomeWaitingForLink means that a new bulk flow waits until the link has room.
 	OutcomeWaitingForLink
+	// OutcomeEvacuated means that a new flow was refused because the data centres of all
+	// sidecars that could take it are evacuated.
+	OutcomeEvacuated
 	// OutcomeCount is the number of outcomes.
 	OutcomeCount
 )
@@ -95,7 +98,7 @@
 var outcomeNames = [OutcomeCount]string{
 	"placed", "moved-on", "timed-out", "forwarded", "searched", "reset", "no-route", "no-sidecar",
 	"invalid", "limited", "not-held", "claimed", "accepted", "waiting", "lost", "link-full", "unresolved",
-	"expired", "waiting-for-link",
+	"expired", "waiting-for-link", "evacuated",
 }
 
 // String returns the outcome's name in metrics and logs.
@@ -157,6 +160,8 @@
 	// changedServices are the services that a sidecar has joined or left since the
 	// last call of TakeHostsOfChangedServices.
 	changedServices map[identity.ServiceID]bool
+	// evacuated holds the evacuated data centres.
+	evacuated map[string]bool
 	// joins counts how often a sidecar has joined each service, or has come back after it
 	// was lost.
 	joins   map[identity.ServiceID]int
--- a/internal/flow/balancer/pendingflow.go
+++ b/internal/flow/balancer/pendingflow.go
@@ -154,6 +154,10 @@
 	if p.outstanding > 0 {
 		return
 	}
+	if sc == nil && !full && b.allEvacuated(now, p.service) {
+		b.refusePending(p, Event{Outcome: OutcomeEvacuated, Reason: reason})
+		return
+	}
 	if full || (len(p.attempted) == 0 && now-p.firstSent < b.currentWaitTimeout()) {
 		b.waitForSidecar(now, p)
 		return
@@ -294,6 +298,11 @@
 		sc.markBusy(now, p.pastGoal(now))
 		p.attempted = slices.DeleteFunc(p.attempted, func(a netip.AddrPort) bool { return a == from })
 	}
+	if sc := b.sidecars[from]; sc != nil && m.Reason == relay.ReasonEvacuated {
+		// It does not count towards maxAttempts, because all sidecars of a data centre refuse.
+		sc.markEvacuated()
+		p.attempted = slices.DeleteFunc(p.attempted, func(a netip.AddrPort) bool { return a == from })
+	}
 	b.place(now, f, p, m.Reason)
 }
 
--- a/internal/flow/balancer/sidecar.go
+++ b/internal/flow/balancer/sidecar.go
@@ -70,6 +70,9 @@
 	// pingedAt is when the sidecar was first asked for a report because it was silent or
 	// had not responded to a search; 0 if it has sent a message since.
 	pingedAt clock.Millis
+	// evacuated is set while the sidecar's data centre is evacuated, as far as this balancer
+	// or the sidecar knows.
+	evacuated bool
 	// unlisted is set if the sidecar may hold flows to addresses that it does not list.
 	unlisted bool
 	// busyUntil is the time until which no new flow at all is placed on the sidecar.
@@ -84,7 +87,9 @@
 }
 
 // usable reports whether the sidecar may get new flows.
-func (sc *sidecar) usable(now clock.Millis) bool { return sc.report.Accepting && sc.live(now) }
+func (sc *sidecar) usable(now clock.Millis) bool {
+	return sc.report.Accepting && !sc.evacuated && sc.live(now)
+}
 
 // live reports whether the last message with the sidecar's load is recent: at most
 // maxMissedReports reports are missing.
@@ -160,6 +165,7 @@
 	}
 	b.setLost(sc, false)
 	sc.report, sc.lastSeen, sc.placed = r, now, 0
+	sc.evacuated = r.Evacuated || b.evacuated[r.DataCentre]
 	if r.Departed {
 		b.removeFromService(sc)
 		delete(b.sidecars, from)
--- a/internal/flow/sidecar/sidecar.go
+++ b/internal/flow/sidecar/sidecar.go
@@ -152,6 +152,8 @@
 	service identity.ServiceID
 	// refusalReason is why new flows are refused; 0 means that they are offered.
 	refusalReason relay.Reason
+	// evacuated is set while the operator has evacuated the data centre.
+	evacuated bool
 	// learning is set while the upstream may hold flows that this process does not know,
 	// because the process started after the upstream or has dropped its flows.
 	learning bool
@@ -203,8 +205,19 @@
 // Refuse refuses new flows with the given reason from now on. Open flows continue.
 func (s *Sidecar) Refuse(reason relay.Reason) { s.refusalReason = reason }
 
+// SetEvacuated sets whether the data centre is evacuated. New flows are refused meanwhile,
+// and open flows continue.
+func (s *Sidecar) SetEvacuated(evacuated bool) { s.evacuated = evacuated }
+
+// Evacuated reports whether the data centre is evacuated.
+func (s *Sidecar) Evacuated() bool { return s.evacuated }
+
 // Accepting reports whether new flows are offered to the upstream.
-func (s *Sidecar) Accepting() bool { return s.refusalReason == 0 }
+func (s *Sidecar) Accepting() bool { return s.refusalReason == 0 && !s.evacuated }
+
+// UpstreamAccepting reports whether the upstream takes new flows, also while the data centre
+// is evacuated.
+func (s *Sidecar) UpstreamAccepting() bool { return s.refusalReason == 0 }
 
 // SetLearning sets whether the upstream may hold flows that this process has not
 // seen.
@@ -339,6 +352,9 @@
 		if reason == 0 && m.Service != s.service {
 			reason = relay.ReasonOtherService
 		}
+		if reason == 0 && s.evacuated {
+			reason = relay.ReasonEvacuated
+		}
 		if reason == 0 && s.refuseForUnansweredOffers(now) {
 			reason = relay.ReasonSilent
 		}
--- a/internal/flow/sidecar/sidecar_test.go
+++ b/internal/flow/sidecar/sidecar_test.go
@@ -122,6 +122,42 @@
 	h.c.Assert(h.takeLastKind(), qt.Equals, relay.Kind(0))
 }
 
+// offerOther sends the request of a second flow, which the sidecar refuses with the given reason,
+// or offers if that is 0.
+func (h *harness) offerOther(reason relay.Reason) {
+	h.c.Helper()
+	toUpstream := h.toUpstream
+	raw := packet(true, opens, 1, 0, 0)
+	other := platform.EncodeReset(segment.NewKey(serviceAddress, netip.AddrPortFrom(client.Addr(), 9)), 1)
+	copy(raw[12:24], other[12:24])
+	h.forward(balancer, false, raw)
+	if reason == 0 {
+		h.c.Assert(h.toUpstream, qt.Equals, toUpstream+1)
+		return
+	}
+	h.c.Assert(h.toUpstream, qt.Equals, toUpstream)
+	h.c.Assert(h.messages[len(h.messages)-1].Reason, qt.Equals, reason)
+}
+
+// Guards against new flows in an evacuated data centre, against open flows that do not
+// continue, and against an evacuation that hides why the upstream itself takes no flows.
+func TestEvacuationRefusesNewFlowsOnly(t *testing.T) {
+	h := newHarness(t)
+	h.open()
+	h.sidecar.SetEvacuated(true)
+	h.c.Assert(h.sidecar.Accepting(), qt.IsFalse)
+	h.c.Assert(h.sidecar.UpstreamAccepting(), qt.IsTrue)
+	toUpstream := h.toUpstream
+	h.forward(balancer, false, packet(true, acks, 102, 501, 100))
+	h.c.Assert(h.toUpstream, qt.Equals, toUpstream+1)
+	h.offerOther(relay.ReasonEvacuated)
+	h.sidecar.Refuse(relay.ReasonDraining)
+	h.offerOther(relay.ReasonDraining)
+	h.sidecar.Accept()
+	h.sidecar.SetEvacuated(false)
+	h.offerOther(0)
+}
+
 // Guards against offering new flows to an upstream that drains, that has not registered,
 // or that belongs to another service since its address was reused.
 func TestRefusesNewFlows(t *testing.T) {
