node, platform: Follow evacuations and spread them

Balancers read and watch the prefix op/ in the calls that followed op/config before; the Follower keeps one revision for both. Changed records go at once to 16 balancers and the sidecars that this balancer notifies, to hosts that appear or whose report disagrees, and to 8 hosts a round while they are announced; the response of a peer's configuration carries them.

--- a/internal/flow/configuration/follower.go
+++ b/internal/flow/configuration/follower.go
@@ -1,6 +1,6 @@
-// Package configuration follows the operator's configuration in the store: it reads the
-// configuration, watches for changes, and retries while the store is unavailable. Package
-// node fetches the configuration from peers meanwhile.
+// Package configuration follows what the operator has written to the store, the
+// configuration and the evacuations: it reads both, watches for changes, and retries while
+// the store is unavailable. Package node gets them from peers meanwhile.
 package configuration
 
 import (
@@ -8,6 +8,7 @@
 	"errors"
 
 	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/flow/evacuation"
 	"github.com/orioledyke/orioledyke/internal/flow/store"
 )
 
@@ -42,25 +43,35 @@
 // been read.
 var errHistoryLost = errors.New("configuration: history was lost again after a read")
 
-// Document is a configuration as the store holds it.
+// Document is what the operator has written, or what he has changed since a revision.
 type Document struct {
+	// Content is the configuration. It is nil if the store has none or, after a watch, if it
+	// has not changed.
 	Content []byte
-	// Revision is the revision of the store at which the document was current.
+	// Revision is the revision of the store at which the document was current. After a
+	// watch, it is that of the last change.
 	Revision store.Revision
+	// Evacuations holds the evacuations. After a watch, it holds those that have begun or
+	// ended, in the order of the changes.
+	Evacuations []evacuation.Record
 }
 
 // Config configures a Follower.
 type Config struct {
-	// Read returns the current configuration.
+	// Read returns the current configuration and all evacuations.
 	Read func(context.Context) (Document, error)
-	// Watch returns the newest change after a revision and true, or false if there is
-	// none within wait. In either case the document has the epoch of the response.
+	// Watch returns the changes after a revision and true, or false if there is none within
+	// wait. In either case the document has the epoch of the response.
 	Watch func(ctx context.Context, after store.Revision, wait clock.Millis) (Document, bool, error)
 	// WatchTimeout returns how long the next watch may wait: ReaderWatch if this process is
 	// one of the few that must notice changes also when their connections go silent,
 	// FollowerWatch otherwise. Each watch is a call, so that with many processes the short
 	// ones would make up most calls to the store.
 	WatchTimeout func() clock.Millis
+	// ApplyEvacuations gets the evacuations of each read, with complete set, and those of
+	// each watch with changes. It is called before Apply, so that no flow is placed by a
+	// configuration without the evacuations that are read with it. It may be nil.
+	ApplyEvacuations func(document Document, complete bool)
 	// Apply puts the content of a document into effect if it is newer than the
 	// configuration in effect. An error means that the content is invalid.
 	Apply func(content []byte) error
@@ -85,7 +96,7 @@
 	revision    store.Revision
 	backoff     clock.Millis
 	unavailable bool
-	// hasConfiguration is set when a configuration has been read.
+	// hasConfiguration is set when the store has been read.
 	hasConfiguration bool
 	// lostHistories is the number of consecutive watches that could not continue from what
 	// had been read before.
@@ -94,6 +105,9 @@
 
 // New returns a Follower that begins when Serve or Step is called.
 func New(config Config) *Follower {
+	if config.ApplyEvacuations == nil {
+		config.ApplyEvacuations = func(Document, bool) {}
+	}
 	return &Follower{config: config, backoff: minBackoff}
 }
 
@@ -141,7 +155,7 @@
 		if err != nil {
 			return err
 		}
-		f.apply(document)
+		f.apply(document, true)
 		return nil
 	}
 	document, changed, err := f.config.Watch(ctx, f.revision, f.config.WatchTimeout())
@@ -156,7 +170,7 @@
 	}
 	f.lostHistories = 0
 	if changed {
-		f.apply(document)
+		f.apply(document, false)
 	}
 	return nil
 }
@@ -172,9 +186,15 @@
 	return nil
 }
 
-func (f *Follower) apply(document Document) {
+// apply puts a document into effect. complete is set if it comes from a read. A read without
+// a configuration is passed on too, so that it is rejected like an invalid one.
+func (f *Follower) apply(document Document, complete bool) {
 	f.revision = document.Revision
 	f.hasConfiguration = true
+	f.config.ApplyEvacuations(document, complete)
+	if document.Content == nil && !complete {
+		return
+	}
 	if err := f.config.Apply(document.Content); err != nil {
 		f.config.Rejected(err)
 	}
--- a/internal/flow/configuration/follower_test.go
+++ b/internal/flow/configuration/follower_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/internal/flow/configuration"
+	"github.com/orioledyke/orioledyke/internal/flow/evacuation"
 	"github.com/orioledyke/orioledyke/internal/flow/store"
 )
 
@@ -126,6 +128,40 @@
 	c.Assert(applied, qt.DeepEquals, []string{"old", "new"})
 }
 
+// Guards against evacuations that are in effect later than the configuration that is read
+// with them, and against a change of evacuations that is missed, that is taken for a further
+// configuration, or that is applied although the store was restored meanwhile.
+func TestEvacuationsAreAppliedBeforeConfiguration(t *testing.T) {
+	c := qt.New(t)
+	var applied []string
+	put := func(epoch store.Epoch, number uint64) configuration.Document {
+		at := store.Revision{Epoch: epoch, Number: number}
+		return configuration.Document{Revision: at, Evacuations: []evacuation.Record{{DataCentre: "hope", Evacuated: true, Revision: at}}}
+	}
+	current, watched := put(1, 5), put(1, 7)
+	current.Content = []byte("one")
+	var watchedAfter []store.Revision
+	f := configuration.New(configuration.Config{
+		Read:         func(context.Context) (configuration.Document, error) { return current, nil },
+		WatchTimeout: func() clock.Millis { return configuration.ReaderWatch },
+		Watch: func(_ context.Context, after store.Revision, _ clock.Millis) (configuration.Document, bool, error) {
+			watchedAfter = append(watchedAfter, after)
+			return watched, true, nil
+		},
+		ApplyEvacuations: func(d configuration.Document, complete bool) {
+			applied = append(applied, fmt.Sprint(len(d.Evacuations), " at ", d.Revision.Number, " ", complete))
+		},
+		Apply: func(content []byte) error { applied = append(applied, string(content)); return nil },
+	})
+	for range 2 {
+		c.Assert(f.Step(context.Background()), qt.IsNil)
+	}
+	watched = put(2, 9)
+	c.Assert(f.Step(context.Background()), qt.IsNil)
+	c.Assert(watchedAfter, qt.DeepEquals, []store.Revision{revision(5), revision(7)})
+	c.Assert(applied, qt.DeepEquals, []string{"1 at 5 true", "one", "1 at 7 false"})
+}
+
 // Guards against a flood of calls while the store is unavailable, and against a backoff
 // so long that the store's return is noticed late.
 func TestBackoff(t *testing.T) {
--- a/internal/flow/evacuation/evacuation.go
+++ b/internal/flow/evacuation/evacuation.go
@@ -70,7 +70,8 @@
 	lostAt clock.Millis
 }
 
-// Set holds the records of one process. It is not safe for concurrent use.
+// Set holds the records of one process. The zero value is ready for use. It is not safe for
+// concurrent use.
 type Set struct {
 	entries map[string]entry
 	// read is the revision of the newest read of the store, and present holds the data
@@ -79,9 +80,6 @@
 	present map[string]bool
 }
 
-// New returns a Set without records.
-func New() *Set { return &Set{entries: map[string]entry{}} }
-
 // Read applies a complete read of the store at a revision. evacuated holds a record for each
 // key. A read in the epoch of a known record ends an evacuation whose key it lacks, unless
 // the read is older than the record. In a later epoch, a restore may have lost the key.
@@ -132,6 +130,9 @@
 	case ok && r.compare(known.Record) <= 0:
 	case !ok && len(s.entries) >= MaxRecords && !s.evict():
 	default:
+		if s.entries == nil {
+			s.entries = map[string]entry{}
+		}
 		s.entries[r.DataCentre] = entry{Record: r, learnedAt: now}
 	}
 }
@@ -174,20 +175,21 @@
 // Evacuated reports whether a data centre is evacuated.
 func (s *Set) Evacuated(dataCentre string) bool { return s.entries[dataCentre].Evacuated }
 
-// Count returns the number of evacuated data centres.
-func (s *Set) Count() int {
-	count := 0
-	for _, e := range s.entries {
+// DataCentres returns the evacuated data centres in order of name.
+func (s *Set) DataCentres() []string {
+	var names []string
+	for name, e := range s.entries {
 		if e.Evacuated {
-			count++
+			names = append(names, name)
 		}
 	}
-	return count
+	slices.Sort(names)
+	return names
 }
 
 // Records returns all records in order of name.
 func (s *Set) Records() []Record {
-	records := make([]Record, 0, len(s.entries))
+	var records []Record
 	for _, name := range slices.Sorted(maps.Keys(s.entries)) {
 		records = append(records, s.entries[name].Record)
 	}
--- a/internal/flow/evacuation/evacuation_test.go
+++ b/internal/flow/evacuation/evacuation_test.go
@@ -31,17 +31,17 @@
 // record that a process without one creates from a read without the key.
 func TestStoreBeginsAndEndsEvacuation(t *testing.T) {
 	c := qt.New(t)
-	s := evacuation.New()
+	s := &evacuation.Set{}
 	c.Assert(s.Read(0, revision(1, 5), nil), qt.DeepEquals, evacuation.Update{})
 	c.Assert(s.Records(), qt.HasLen, 0)
 	c.Assert(s.Watch(0, []evacuation.Record{put(hope, 1, 6)}), qt.DeepEquals,
 		evacuation.Update{Changed: true, Transitions: []evacuation.Record{put(hope, 1, 6)}})
 	c.Assert(s.Evacuated(hope), qt.IsTrue)
 	c.Assert(s.Evacuated(surrey), qt.IsFalse)
-	c.Assert(s.Count(), qt.Equals, 1)
+	c.Assert(s.DataCentres(), qt.DeepEquals, []string{hope})
 	c.Assert(s.Watch(0, []evacuation.Record{removal(hope, 1, 7)}).Transitions, qt.DeepEquals, []evacuation.Record{removal(hope, 1, 7)})
 	s.Read(0, revision(1, 9), []evacuation.Record{put(hope, 1, 8), put(surrey, 1, 9)})
-	c.Assert(s.Count(), qt.Equals, 2)
+	c.Assert(s.DataCentres(), qt.DeepEquals, []string{hope, surrey})
 	c.Assert(s.Read(0, revision(1, 12), []evacuation.Record{put(surrey, 1, 9)}), qt.DeepEquals,
 		evacuation.Update{Changed: true, Transitions: []evacuation.Record{removal(hope, 1, 12)}})
 	c.Assert(s.Records(), qt.DeepEquals, []evacuation.Record{removal(hope, 1, 12), put(surrey, 1, 9)})
@@ -62,7 +62,7 @@
 		"the same record again": func(s *evacuation.Set) evacuation.Update { return s.Merge(0, []evacuation.Record{put(hope, 2, 20)}) },
 	} {
 		c := qt.New(t)
-		s := evacuation.New()
+		s := &evacuation.Set{}
 		s.Watch(0, []evacuation.Record{put(hope, 2, 20)})
 		c.Assert(stale(s), qt.DeepEquals, evacuation.Update{}, qt.Commentf(name))
 		s.Tick(10 * clock.Minute)
@@ -74,7 +74,7 @@
 // process has read that the operator has withdrawn it.
 func TestPeerDoesNotBringBackWhatAReadHasEnded(t *testing.T) {
 	c := qt.New(t)
-	s := evacuation.New()
+	s := &evacuation.Set{}
 	s.Read(0, revision(1, 12), nil)
 	s.Merge(0, []evacuation.Record{put(hope, 1, 8)})
 	c.Assert(s.Evacuated(hope), qt.IsFalse)
@@ -96,7 +96,7 @@
 		},
 	} {
 		c := qt.New(t)
-		s := evacuation.New()
+		s := &evacuation.Set{}
 		learn(s)
 		s.Read(30*clock.Second, revision(2, 18), nil)
 		s.Tick(59 * clock.Second)
@@ -109,7 +109,7 @@
 // written the key again, and against a removal in the new epoch that has no effect.
 func TestOperatorDecidesAfterRestore(t *testing.T) {
 	c := qt.New(t)
-	s := evacuation.New()
+	s := &evacuation.Set{}
 	s.Watch(0, []evacuation.Record{put(hope, 1, 20), put(surrey, 1, 21)})
 	s.Read(0, revision(2, 15), nil)
 	s.Watch(clock.Second, []evacuation.Record{put(hope, 2, 16), put(surrey, 2, 17), removal(surrey, 2, 18)})
@@ -125,11 +125,11 @@
 	for number := range uint64(6) {
 		records = append(records, put(hope, 1+store.Epoch(number%2), number), removal(hope, 1, number), put(surrey, 1, number), removal(surrey, 2, 1))
 	}
-	expected := evacuation.New()
+	expected := &evacuation.Set{}
 	expected.Merge(0, records)
 	random := rand.New(rand.NewPCG(1, 1))
 	for range 50 {
-		first, second := evacuation.New(), evacuation.New()
+		first, second := &evacuation.Set{}, &evacuation.Set{}
 		for _, i := range random.Perm(len(records)) {
 			known := []*evacuation.Set{first, second}[i%2]
 			known.Merge(0, []evacuation.Record{records[i], records[i]})
@@ -144,7 +144,7 @@
 // Guards against a reply that is sent without need, or not sent although it would help.
 func TestKnowsNewer(t *testing.T) {
 	c := qt.New(t)
-	s := evacuation.New()
+	s := &evacuation.Set{}
 	s.Merge(0, []evacuation.Record{put(hope, 1, 20), removal(surrey, 1, 21)})
 	for _, test := range []struct {
 		sent  []evacuation.Record
@@ -158,14 +158,14 @@
 	} {
 		c.Assert(s.KnowsNewer(test.sent), qt.Equals, test.newer)
 	}
-	c.Assert(evacuation.New().KnowsNewer(nil), qt.IsFalse)
+	c.Assert((&evacuation.Set{}).KnowsNewer(nil), qt.IsFalse)
 }
 
 // Guards against announcements without end, and against a removal that is not announced for
 // long enough to reach all hosts.
 func TestAnnouncementsEnd(t *testing.T) {
 	c := qt.New(t)
-	s := evacuation.New()
+	s := &evacuation.Set{}
 	c.Assert(s.Announces(0), qt.IsFalse)
 	s.Watch(0, []evacuation.Record{put(hope, 1, 20)})
 	c.Assert(s.Announces(clock.Minute*10), qt.IsTrue)
@@ -178,14 +178,14 @@
 // against an evacuation that a full set of ended ones keeps out.
 func TestRecordsAreBounded(t *testing.T) {
 	c := qt.New(t)
-	s := evacuation.New()
+	s := &evacuation.Set{}
 	for i := range uint64(evacuation.MaxRecords + 10) {
 		s.Merge(0, []evacuation.Record{removal(fmt.Sprint("dc-", i), 1, i+1)})
 	}
 	c.Assert(s.Records(), qt.HasLen, evacuation.MaxRecords)
 	s.Merge(0, []evacuation.Record{put(hope, 1, 3), put("", 1, 4), put(strings.Repeat("d", evacuation.MaxNameLength+1), 1, 5)})
 	c.Assert(s.Records(), qt.HasLen, evacuation.MaxRecords)
-	c.Assert(s.Count(), qt.Equals, 1)
+	c.Assert(s.DataCentres(), qt.DeepEquals, []string{hope})
 	for i := range uint64(evacuation.MaxRecords + 10) {
 		s.Merge(0, []evacuation.Record{put(fmt.Sprint("full-", i), 2, i+1)})
 	}
--- a/internal/flow/node/balancer.go
+++ b/internal/flow/node/balancer.go
@@ -7,11 +7,13 @@
 	"time"
 
 	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/common/identity"
 	"github.com/orioledyke/orioledyke/internal/common/settings"
 	"github.com/orioledyke/orioledyke/internal/flow/balancer"
 	"github.com/orioledyke/orioledyke/internal/flow/configuration"
 	"github.com/orioledyke/orioledyke/internal/flow/peerset"
 	"github.com/orioledyke/orioledyke/internal/flow/relay"
+	"github.com/orioledyke/orioledyke/internal/flow/route"
 	"github.com/orioledyke/orioledyke/internal/flow/segment"
 	"github.com/orioledyke/orioledyke/internal/flow/store"
 	"github.com/orioledyke/orioledyke/platform"
@@ -50,6 +52,9 @@
 	// behindLogged is set from the line of logBehind until the next version is in effect.
 	behindLogged bool
 	digests      *digests
+	// warmupRate returns the warm-up rate of a service in requests a second by a
+	// configuration, 0 if there is no limit. Nil means that there is none.
+	warmupRate func(*route.Table, identity.ServiceID) float64
 	// compressed is the configuration that peers get.
 	compressed compressedConfiguration
 	// lastPacket is the time of the last packet of a client.
@@ -104,6 +109,7 @@
 	})
 	n.tree.Add("configuration", configuration.New(configuration.Config{
 		Read: n.readConfiguration, Watch: n.watchConfiguration, WatchTimeout: n.watchTimeout,
+		ApplyEvacuations:    n.applyEvacuations,
 		Apply:               func(content []byte) error { return n.applyConfiguration(sourceStore, content) },
 		AvailabilityChanged: n.storeAvailabilityChanged,
 		Rejected:            func(err error) { n.logger.Warn("configuration-rejected", zap.Error(err)) },
@@ -181,6 +187,9 @@
 	case relay.KindEpoch:
 		n.handleEpoch(m.Epoch)
 		return
+	case relay.KindDirectives:
+		n.handleDirectives(now, from.Addr(), m.Directives)
+		return
 	}
 	// Only a report tells what the sidecar's upstream may hold. Until the first one, its
 	// host stays one of those that allReported waits for.
@@ -197,7 +206,10 @@
 	}
 	n.machine.HandleSidecar(now, from, m)
 	if appeared {
-		n.digests.send(now, []netip.Addr{from.Addr()}, true)
+		n.digests.greet(now, []netip.Addr{from.Addr()})
+	}
+	if n.disagrees(m) {
+		n.exchangeDirectives(now, from.Addr())
 	}
 	n.setTimer(now)
 }
--- a/internal/flow/node/configuration.go
+++ b/internal/flow/node/configuration.go
@@ -37,6 +37,7 @@
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	now := n.clock.Now()
+	replaced := n.machine.Table()
 	if !n.machine.SetTable(now, table) {
 		return nil
 	}
@@ -49,6 +50,7 @@
 	n.versions.Applied(now, table.Version(), source == sourcePeer)
 	n.behindLogged = false
 	n.digests.spread(now)
+	n.digests.spreadWarmupRates(now, replaced)
 	n.logger.Info("configuration-applied", fields...)
 	return nil
 }
--- a/internal/flow/node/digest.go
+++ b/internal/flow/node/digest.go
@@ -62,6 +62,8 @@
 	// together reach all of them.
 	announceUntil clock.Millis
 	announceTurn  peerset.Rotation
+	// directivesTurn rotates through the hosts that get directives.
+	directivesTurn peerset.Rotation
 	// notifies caches whether this balancer is a sibling notifier of each sidecar. It is
 	// valid while the live balancers are liveBalancers.
 	notifies      map[netip.Addr]bool
@@ -73,7 +75,7 @@
 func (n *balancerNode) handleDigest(now clock.Millis, from netip.Addr, d relay.Digest) {
 	if n.balancers.MarkSeen(now, from, d.Interval) {
 		n.logger.Info("balancer-appeared", zap.Stringer("balancer", from))
-		n.digests.send(now, []netip.Addr{from}, true)
+		n.digests.greet(now, []netip.Addr{from})
 	}
 	n.addHosts(now, platform.Hosts{platform.Balancers: d.Balancers, platform.Sidecars: d.Sidecars})
 	n.versions.Report(now, from, d.Version)
@@ -83,7 +85,7 @@
 // addHosts adds listed hosts to the peer sets, and sends a digest to those that are new.
 func (n *balancerNode) addHosts(now clock.Millis, hosts platform.Hosts) {
 	added := n.balancers.MarkListed(now, hosts[platform.Balancers])
-	n.digests.send(now, append(added, n.sidecars.MarkListed(now, hosts[platform.Sidecars])...), true)
+	n.digests.greet(now, append(added, n.sidecars.MarkListed(now, hosts[platform.Sidecars])...))
 }
 
 // sendDigests does the periodic work of the balancer. It sends the digests of a round,
@@ -93,6 +95,7 @@
 	defer n.mutex.Unlock()
 	now := n.clock.Now()
 	n.machine.Tick(now)
+	n.evacuationsUpdated(now, sourceStore, n.evacuations.Tick(now))
 	n.balancers.MarkListed(now, n.seedHosts())
 	n.balancers.Expire(now)
 	n.sidecars.Expire(now)
@@ -124,6 +127,9 @@
 		d.send(now, listed, true)
 	}
 	d.send(now, d.hostTurn.Next(all, digestsPerRound), false)
+	if n.evacuations.Announces(now) {
+		d.sendDirectives(d.directivesTurn.Next(all, directivesPerRound))
+	}
 	if now < d.announceUntil && !n.stopping {
 		d.announceEpoch(d.announceTurn.Next(all, announcedPerRound))
 	}
@@ -152,13 +158,28 @@
 
 // spread immediately notifies some balancers, chosen at random, of the configuration in
 // effect.
-func (d *digests) spread(now clock.Millis) {
+func (d *digests) spread(now clock.Millis) { d.send(now, d.randomPeers(now), false) }
+
+// randomPeers returns up to spreadPeers live balancers, chosen at random.
+func (d *digests) randomPeers(now clock.Millis) []netip.Addr {
 	peers := d.node.balancers.Live(now)
 	for i := range peers {
 		j := i + random(len(peers)-i)
 		peers[i], peers[j] = peers[j], peers[i]
 	}
-	d.send(now, peers[:min(len(peers), spreadPeers)], false)
+	return peers[:min(len(peers), spreadPeers)]
+}
+
+// notified returns the live sidecars of which this balancer is a sibling notifier.
+func (d *digests) notified(now clock.Millis) []netip.Addr {
+	d.refresh(d.node.balancers.Live(now))
+	return slices.DeleteFunc(d.node.sidecars.Live(now), func(host netip.Addr) bool { return !d.isNotifierOf(host) })
+}
+
+// greet sends hosts that have appeared what this balancer knows.
+func (d *digests) greet(now clock.Millis, hosts []netip.Addr) {
+	d.send(now, hosts, true)
+	d.sendDirectives(hosts)
 }
 
 // send sends a digest to each of the given hosts, with or without lists of hosts. For a
--- a/internal/flow/node/digest_test.go
+++ b/internal/flow/node/digest_test.go
@@ -49,10 +49,15 @@
 	return r
 }
 
-// messages returns the messages of one round. Datagrams over loopback stay in order, so a
-// datagram of a single byte to the listener marks the end of the round.
+// messages returns the messages of one round.
 func (r *digestRecorder) messages(now clock.Millis) []relay.Message {
 	r.node.digests.sendRound(now)
+	return r.pending()
+}
+
+// pending returns the messages that were sent since the last call. Datagrams over loopback
+// stay in order, so a datagram of a single byte to the listener marks the end.
+func (r *digestRecorder) pending() []relay.Message {
 	_, err := r.sender.WriteToUDPAddrPort([]byte{0}, r.node.settings.RelayAddress)
 	r.c.Assert(err, qt.IsNil)
 	var messages []relay.Message
--- a/internal/flow/node/node.go
+++ b/internal/flow/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/orioledyke/orioledyke/internal/common/settings"
 	"github.com/orioledyke/orioledyke/internal/common/supervisor"
 	"github.com/orioledyke/orioledyke/internal/common/telemetry"
+	"github.com/orioledyke/orioledyke/internal/flow/evacuation"
 	"github.com/orioledyke/orioledyke/internal/flow/peerset"
 	"github.com/orioledyke/orioledyke/internal/flow/store"
 	"github.com/orioledyke/orioledyke/platform"
@@ -81,6 +82,10 @@
 	// announced.
 	storeEpoch, announcedEpoch store.Epoch
 	storeRestores              uint64
+	// evacuations holds what is known of evacuated data centres. directedAt is the time of
+	// the last directives to a host that needed some.
+	evacuations evacuation.Set
+	directedAt  map[netip.Addr]clock.Millis
 	// storeRestored is called, with the mutex locked, when the store's epoch has risen.
 	storeRestored func()
 	// fieldBuffer holds the fields of the last log line about a flow. Its memory is
@@ -98,10 +103,12 @@
 	}
 	b := &base{
 		options: options, settings: s, clock: clock.System(), telemetry: observed, logger: observed.Logger(),
-		balancers: peerset.New(s.RelayAddress.Addr()), storeRestored: func() {},
+		balancers: peerset.New(s.RelayAddress.Addr()), storeRestored: func() {}, directedAt: map[netip.Addr]clock.Millis{},
 	}
 	b.store = platform.NewStore(s.StoreAddress, b.observeStoreEpoch)
 	b.registerStoreMetrics()
+	b.gaugeFunc("orioledyke_flow_evacuated_data_centres", "Data centres whose upstreams get no new flows, as far as this process knows.",
+		func() float64 { return float64(len(b.evacuations.DataCentres())) })
 	b.startedAt = b.clock.Now()
 	b.tree = supervisor.New(string(s.Role), b.logger)
 	b.tree.Add("observe", observed.Serve)
--- a/internal/flow/node/node_test.go
+++ b/internal/flow/node/node_test.go
@@ -58,8 +58,8 @@
 		`{"version":4,"routes":[{"name":"r","host":"198.18.0.1","prefix":"/443/","kind":"idempotent","service":"portal"}]}`))
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch {
-		case strings.HasSuffix(r.URL.Path, "kv-key") && r.URL.Query().Get("key") == "op/config":
-			fmt.Fprintf(w, `{"key":"op/config","value":%q,"revision":3,"storeRevision":3}`, configuration)
+		case strings.HasSuffix(r.URL.Path, "kv-range") && r.URL.Query().Get("prefix") == "op/":
+			fmt.Fprintf(w, `{"items":[{"key":"op/config","value":%q,"revision":3}],"storeRevision":3}`, configuration)
 		case strings.HasSuffix(r.URL.Path, "kv-key"):
 			http.NotFound(w, r)
 		case strings.HasSuffix(r.URL.Path, "kv-watch"):
--- a/internal/flow/node/peerconfiguration.go
+++ b/internal/flow/node/peerconfiguration.go
@@ -62,8 +62,9 @@
 // newer.
 func (n *balancerNode) fetchConfiguration(ctx context.Context, fetch configuration.Fetch) {
 	address := netip.AddrPortFrom(fetch.Peer, n.settings.RelayAddress.Port())
-	content, err := n.get(ctx, "http://"+address.String()+configurationPath)
+	content, header, err := n.get(ctx, "http://"+address.String()+configurationPath)
 	if err == nil {
+		n.mergeHeader(header)
 		err = n.applyConfiguration(sourcePeer, content)
 	}
 	n.mutex.Lock()
@@ -77,37 +78,41 @@
 	}
 }
 
-func (n *balancerNode) get(ctx context.Context, url string) ([]byte, error) {
+func (n *balancerNode) get(ctx context.Context, url string) ([]byte, http.Header, error) {
 	ctx, cancel := context.WithTimeout(ctx, maxPeerTransferTime.Duration())
 	defer cancel()
 	ctx, guard := stall.Watch(ctx, peerTimeout, peerTimeout)
 	defer guard.Stop()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	response, err := n.httpClient.Do(request)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return nil, oops.Errorf("status %d", response.StatusCode)
+		return nil, nil, oops.Errorf("status %d", response.StatusCode)
 	}
 	guard.Progress()
-	return io.ReadAll(io.LimitReader(guard.Reader(response.Body), maxConfigurationSize))
+	content, err := io.ReadAll(io.LimitReader(guard.Reader(response.Body), maxConfigurationSize))
+	return content, response.Header, err
 }
 
 // serveConfiguration responds to a peer with the configuration in effect, or with 404 if
-// there is none.
+// there is none, and with the known evacuations, if any.
 func (n *balancerNode) serveConfiguration(w http.ResponseWriter, r *http.Request) {
 	n.mutex.Lock()
-	table := n.machine.Table()
+	table, evacuations := n.machine.Table(), n.evacuationsHeader()
 	n.mutex.Unlock()
 	if r.URL.Path != configurationPath || table == nil {
 		http.NotFound(w, r)
 		return
 	}
+	if evacuations != "" {
+		w.Header().Set(evacuationsHeader, evacuations)
+	}
 	content := table.Document()
 	if strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
 		compressed, err := n.compressed.get(table)
--- a/internal/flow/node/presence.go
+++ b/internal/flow/node/presence.go
@@ -59,7 +59,7 @@
 	// A host without an upstream may be switched off at any time. If it stayed a member of
 	// its service, searches would then wait for it.
 	n.absent = n.upstreamID == ""
-	if n.machine.Accepting() {
+	if n.machine.UpstreamAccepting() {
 		n.machine.Refuse(relay.ReasonSilent)
 	} else if !n.absent {
 		return
--- a/internal/flow/node/sidecar.go
+++ b/internal/flow/node/sidecar.go
@@ -71,6 +71,12 @@
 	// began before the start of this process, also if the read has failed or timed out. The
 	// upstream then gets new flows until a later read finds its drain.
 	drainRestored bool
+	// warmupRate is the warm-up rate of the service in requests a second, 0 if there is no
+	// limit, by version warmupVersion of the configuration. setWarmup puts it into effect with
+	// the time for which the upstream is still cold; nil if the machine does not support it.
+	warmupRate    float64
+	warmupVersion uint64
+	setWarmup     func(rate float64, left clock.Millis)
 	// departed is set at the end of this process if the upstream has ended before it. absent
 	// is set while no upstream has registered with this process and its port is closed.
 	departed, absent bool
@@ -172,6 +178,8 @@
 		n.reportTo([]netip.Addr{from.Addr()})
 	case relay.KindEpoch:
 		n.handleEpoch(m.Epoch)
+	case relay.KindDirectives:
+		n.handleDirectives(now, from.Addr(), m.Directives)
 	case relay.KindDigest:
 		appeared := n.balancers.MarkSeen(now, from.Addr(), m.Digest.Interval)
 		n.requestedInterval = m.Digest.ReportInterval
@@ -250,9 +258,10 @@
 // applyRegistration puts the state of the upstream into effect, and reports to the live
 // balancers immediately if the sidecar starts or stops accepting new flows.
 func (n *sidecarNode) applyRegistration(now clock.Millis) {
-	before := n.machine.Accepting()
+	before := n.machine.UpstreamAccepting()
 	current, known := n.registration.Current()
 	n.machine.SetSlots(current.Slots)
+	n.applyWarmup(now)
 	switch {
 	case n.stopping:
 		n.machine.Refuse(relay.ReasonStopping)
@@ -263,8 +272,8 @@
 	default:
 		n.machine.Accept()
 	}
-	if n.machine.Accepting() != before {
-		n.logger.Info("upstream-changed", zap.Bool("accepting", n.machine.Accepting()))
+	if n.machine.UpstreamAccepting() != before {
+		n.logger.Info("upstream-changed", zap.Bool("accepting", n.machine.UpstreamAccepting()))
 		n.reportTo(n.balancers.Live(now))
 	}
 }
@@ -337,7 +346,7 @@
 	}
 	_, known := n.registration.Current()
 	limit := maxMissedHeartbeats * clock.FromDuration(n.sidecarSettings.HeartbeatInterval)
-	if known && n.registration.HeartbeatAge(now) > limit && n.machine.Accepting() {
+	if known && n.registration.HeartbeatAge(now) > limit && n.machine.UpstreamAccepting() {
 		n.logger.Warn("upstream-silent", zap.String("upstream", n.upstreamID),
 			zap.Int64("silent-ms", int64(n.registration.HeartbeatAge(now))))
 		n.machine.Refuse(relay.ReasonSilent)
@@ -373,7 +382,7 @@
 	addresses, all := n.machine.Addresses()
 	m := relay.Message{Kind: relay.KindReport, Report: relay.Report{
 		Incarnation: n.incarnation, Service: platform.ServiceID(n.sidecarSettings.Service), DataCentre: n.settings.DataCentre,
-		Accepting: n.machine.Accepting(), Departed: n.departed || n.absent, Stopping: n.stopping, Slots: current.Slots,
+		Accepting: n.machine.Accepting(), Evacuated: n.machine.Evacuated(), Departed: n.departed || n.absent, Stopping: n.stopping, Slots: current.Slots,
 		Warmup: n.registration.Warmup(n.clock.Now()), Interval: n.currentReportInterval, Load: n.machine.Load(),
 		Addresses: addresses, AllListed: all,
 	}}
@@ -387,11 +396,12 @@
 	}
 }
 
-// ready reports whether the sidecar offers new flows to its upstream.
+// ready reports whether the sidecar offers new flows to its upstream, or would if the data
+// centre were not evacuated. An evacuation does not make a host unfit.
 func (n *sidecarNode) ready() bool {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	return !n.stopping && n.machine.Accepting()
+	return !n.stopping && n.machine.UpstreamAccepting()
 }
 
 // drain refuses new flows and forwards packets until no request has been in progress for
