--- a/internal/flow/balancer/outlier_test.go
+++ b/internal/flow/balancer/outlier_test.go
@@ -15,7 +15,7 @@
 func TestReportsFeedOutliers(t *testing.T) {
 	c := qt.New(t)
 	tracker := outlier.New(outlier.Config{MaxEjectedShare: 0.33})
-	b := balancer.New(balancer.Config{Outliers: tracker})
+	b := balancer.New(balancer.Config{Outliers: tracker, Random: func(int) int { return 0 }})
 	report := func(now clock.Millis, draining ...int) {
 		for i, address := range sidecars {
 			r := relay.Report{Service: portal, Accepting: true, Slots: 3, Work: relay.Work{Known: true, Ended: 60}}
--- a/internal/flow/balancer/sidecar.go
+++ b/internal/flow/balancer/sidecar.go
@@ -71,6 +71,9 @@
 	// pingedAt is when the sidecar was first asked for a report because it was silent or
 	// had not responded to a search; 0 if it has sent a message since.
 	pingedAt clock.Millis
+	// evacuated is set while the sidecar's data centre is evacuated, as far as this balancer
+	// or the sidecar knows.
+	evacuated bool
 	// unlisted is set if the sidecar may hold flows to addresses that it does not list.
 	unlisted bool
 	// weight is the weight from Config.Weight as of the last report. nextTrial is when the
@@ -89,7 +92,9 @@
 }
 
 // usable reports whether the sidecar may get new flows.
-func (sc *sidecar) usable(now clock.Millis) bool { return sc.report.Accepting && sc.live(now) }
+func (sc *sidecar) usable(now clock.Millis) bool {
+	return sc.report.Accepting && !sc.evacuated && sc.live(now)
+}
 
 // live reports whether the last message with the sidecar's load is recent: at most
 // maxMissedReports reports are missing.
@@ -171,6 +176,7 @@
 	sc.backlog.ApplyReport(now, r, b.placementOf(r.Service), b.goals[r.Service])
 	b.observeFailures(now, from, r)
 	b.setWeight(now, sc, b.config.Weight(from))
+	sc.evacuated = r.Evacuated || b.evacuated[r.DataCentre]
 	if r.Departed {
 		b.removeFromService(sc)
 		delete(b.sidecars, from)
