--- a/internal/flow/route/table.go
+++ b/internal/flow/route/table.go
@@ -35,11 +35,21 @@
 	LatencyGoal, Timeout clock.Millis
 }
 
+// Service holds the settings of a service.
+type Service struct {
+	ID identity.ServiceID
+	// WarmupRate is the rate in requests a second to which an upstream of the service is
+	// limited while it is cold. 0 means no limit.
+	WarmupRate float64
+}
+
 // Config configures a Table.
 type Config struct {
 	// Version is higher than that of every earlier configuration.
 	Version uint64
 	Routes  []Route
+	// Services are the services that have settings.
+	Services []Service
 	// IdleTimeout is how long a flow may be idle before balancers may remove its entry.
 	IdleTimeout clock.Millis
 	// Document is the configuration as the operator wrote it. Balancers send it to each
@@ -51,15 +61,27 @@
 type Table struct {
 	config Config
 	routes map[netip.AddrPort]Route
+	// warmupRates holds the limits by service, in requests a second. Services without a
+	// limit have no entry.
+	warmupRates map[identity.ServiceID]float64
 }
 
-// NewTable returns a table of config. A later route of the same address replaces an
-// earlier one.
+// NewTable returns a table of config. A later route of the same address, or a later entry
+// of the same service, replaces an earlier one.
 func NewTable(config Config) *Table {
-	t := &Table{config: config, routes: make(map[netip.AddrPort]Route, len(config.Routes))}
+	t := &Table{
+		config: config, routes: make(map[netip.AddrPort]Route, len(config.Routes)),
+		warmupRates: map[identity.ServiceID]float64{},
+	}
 	for _, r := range config.Routes {
 		t.routes[r.Address] = r
 	}
+	for _, s := range config.Services {
+		delete(t.warmupRates, s.ID)
+		if s.WarmupRate > 0 {
+			t.warmupRates[s.ID] = s.WarmupRate
+		}
+	}
 	return t
 }
 
@@ -113,6 +135,15 @@
 	return r, ok
 }
 
+// WarmupRate returns the rate in requests a second to which a cold upstream of a service
+// is limited. 0 means no limit.
+func (t *Table) WarmupRate(service identity.ServiceID) float64 {
+	if t == nil {
+		return 0
+	}
+	return t.warmupRates[service]
+}
+
 // Service selects the service of a new flow, in proportion to the weights of the targets.
 // The result depends only on the route and the key, so that every balancer with the same
 // table selects the same service. The route must have a target.
