flow: Limit the new flows to cold upstreams

After an outage or an evacuation, a cold upstream would get the flows of all waiting clients at once. A token bucket (internal/flow/warmup) limits them to the configured rate of the service: the sidecar refuses what exceeds it with the new reason warming-up (9), and each balancer keeps to its share of the rate, spreads its first flows while the sidecar does not know the rate yet, and pauses after a refusal. Without a rate in the configuration nothing changes.

--- a/internal/flow/balancer/balancer.go
+++ b/internal/flow/balancer/balancer.go
@@ -140,6 +140,9 @@
 	// Until then, a flow that no sidecar claims may still exist. If AllReported is nil, all
 	// sidecars count as having reported.
 	AllReported func() bool
+	// Balancers returns the number of live balancers, including this one. They share the
+	// rates of cold upstreams. If Balancers is nil, this one counts as the only one.
+	Balancers func() int
 	// LossChanged is called when a sidecar begins or ceases to count as lost, with the time
 	// since its last message. It may be nil.
 	LossChanged func(sidecar netip.AddrPort, lost bool, silence clock.Millis)
@@ -183,6 +186,10 @@
 	// unresolved holds the flows whose search is to be repeated.
 	unresolved    []*unresolvedFlow
 	lastLossCheck clock.Millis
+	// balancers is the number of live balancers at balancersCountedAt; 0 if it has not been
+	// determined yet.
+	balancers          int
+	balancersCountedAt clock.Millis
 	// lastSidecarMessage is when the last message of any sidecar arrived.
 	lastSidecarMessage clock.Millis
 	counts             [OutcomeCount]uint64
@@ -229,6 +236,9 @@
 	if config.LossChanged == nil {
 		config.LossChanged = func(netip.AddrPort, bool, clock.Millis) {}
 	}
+	if config.Balancers == nil {
+		config.Balancers = func() int { return 1 }
+	}
 	if config.AllReported == nil {
 		config.AllReported = func() bool { return true }
 	}
--- a/internal/flow/balancer/pendingflow.go
+++ b/internal/flow/balancer/pendingflow.go
@@ -33,8 +33,8 @@
 	// latencyGoal is the latency goal of the flow's route; 0 means none. openTimeout is how
 	// long the client waits for the flow to open.
 	latencyGoal, openTimeout clock.Millis
-	// attempted holds the sidecars that have got the request, without those that were
-	// too busy for it.
+	// attempted holds the sidecars that have got the request, without those that refused
+	// it but may take it later.
 	attempted []netip.AddrPort
 	// outstanding counts the sidecars that have got the request and have not responded.
 	// Their upstreams may have accepted the flow.
@@ -140,6 +140,7 @@
 			p.attemptedAt, p.deadline = now, now+b.responseTimes.timeout()
 			heap.Push(&b.attempts, attempt{flow: p, deadline: p.deadline})
 			sc.placed++
+			b.recordPaced(now, sc)
 			f.owner = sc.address
 			b.sendTo(sc.address, relay.Message{
 				Kind: relay.KindForward, Service: p.service, LatencyGoal: p.latencyGoal, PastGoal: p.pastGoal(now), Packet: p.packet,
@@ -264,6 +265,9 @@
 }
 
 func (b *Balancer) handleAccepted(now clock.Millis, from netip.AddrPort, key segment.Key) {
+	if sc := b.sidecars[from]; sc != nil {
+		sc.pace.refusals = 0
+	}
 	f := b.flows[key]
 	if f == nil || f.accepted {
 		return
@@ -289,9 +293,7 @@
 		return
 	}
 	p.outstanding--
-	if sc := b.sidecars[from]; sc != nil && m.Reason == relay.ReasonBusy {
-		// The sidecar may be attempted again later.
-		sc.markBusy(now, p.pastGoal(now))
+	if sc := b.sidecars[from]; sc != nil && b.allowRetry(now, sc, p, m.Reason) {
 		p.attempted = slices.DeleteFunc(p.attempted, func(a netip.AddrPort) bool { return a == from })
 	}
 	b.place(now, f, p, m.Reason)
--- a/internal/flow/balancer/sidecar.go
+++ b/internal/flow/balancer/sidecar.go
@@ -76,6 +76,8 @@
 	// pastGoalBusyUntil is the time until which no flow past its latency goal is placed
 	// on the sidecar.
 	busyUntil, pastGoalBusyUntil clock.Millis
+	// pace limits the new flows while the upstream is cold.
+	pace pace
 }
 
 // markUnresponsive records that the sidecar has not responded in time.
@@ -155,11 +157,13 @@
 		b.removeFromService(sc)
 		b.addToService(sc, r.Service)
 	}
-	if sc.report.Incarnation != r.Incarnation {
+	newIncarnation := sc.report.Incarnation != r.Incarnation
+	if newIncarnation {
 		sc.unresponsive = false
 	}
 	b.setLost(sc, false)
 	sc.report, sc.lastSeen, sc.placed = r, now, 0
+	sc.pace.report(now, r.Warmup, newIncarnation)
 	if r.Departed {
 		b.removeFromService(sc)
 		delete(b.sidecars, from)
@@ -335,18 +339,18 @@
 }
 
 // selectSidecar selects a sidecar for a new flow among the usable ones that were not
-// attempted yet and are not full. The first attempt takes the cheaper of two random
+// attempted yet and are neither full nor paced. The first attempt takes the cheaper of two random
 // sidecars, so that balancers that know the same loads do not all select the same one. One
 // of the two is in this data centre, if any is, so that fewer packets leave it.
 // Later attempts take the cheapest of all. If there is no sidecar to select, best is nil,
-// and full reports whether a usable sidecar that was not attempted yet is full.
+// and full reports whether a usable sidecar that was not attempted yet is full or paced.
 func (b *Balancer) selectSidecar(now clock.Millis, p *pendingFlow) (best *sidecar, full bool) {
 	var candidates []*sidecar
 	pastGoal := p.pastGoal(now)
 	for _, sc := range b.services[p.service] {
 		switch {
 		case !sc.usable(now) || slices.Contains(p.attempted, sc.address):
-		case sc.full(now, pastGoal):
+		case sc.full(now, pastGoal) || b.paced(now, sc):
 			full = true
 		default:
 			candidates = append(candidates, sc)
--- a/internal/flow/node/balancer.go
+++ b/internal/flow/node/balancer.go
@@ -77,6 +77,7 @@
 		ToClient:    b.toClient,
 		Random:      random,
 		AllReported: n.allReported,
+		Balancers:   n.balancerCount,
 		LossChanged: n.logLoss,
 		Observe:     n.observe,
 	})
@@ -221,6 +222,13 @@
 	return now-n.startedAt >= wait && len(n.sidecars.Awaited(now)) == 0
 }
 
+// balancerCount returns the number of live balancers and of listed ones whose first message
+// is expected, including this one.
+func (n *balancerNode) balancerCount() int {
+	now := n.clock.Now()
+	return 1 + len(n.balancers.Live(now)) + len(n.balancers.Awaited(now))
+}
+
 // handleRestore handles a restore of the store that this process has noticed.
 func (n *balancerNode) handleRestore() {
 	n.endOutdatedWatch()
--- a/internal/flow/node/sidecar.go
+++ b/internal/flow/node/sidecar.go
@@ -236,7 +236,8 @@
 		n.learnUntil = n.clock.Now() + clock.FromDuration(n.settings.FlowLifetime)
 	}
 	n.logger.Info("upstream-registered", zap.String("upstream", h.ID), zap.Int64("born", h.StartedAt),
-		zap.Uint64("sequence", h.Sequence), zap.String("service", h.Service))
+		zap.Uint64("sequence", h.Sequence), zap.String("service", h.Service),
+		zap.Int64("warmup-ms", int64(h.Warmup)))
 	if !first {
 		n.machine.DropFlows()
 		n.learnUntil = n.clock.Now() + clock.FromDuration(n.settings.FlowLifetime)
--- a/internal/flow/relay/message.go
+++ b/internal/flow/relay/message.go
@@ -78,11 +78,17 @@
 	ReasonStopping
 	// ReasonSilent means that the upstream does not respond.
 	ReasonSilent
+	// ReasonWarmingUp means that the upstream is cold and has got as many new flows as its
+	// service's warm-up rate allows. The flow may be placed on the same sidecar again later.
+	ReasonWarmingUp Reason = 9
+	// ReasonCount is higher than every reason.
+	ReasonCount = ReasonWarmingUp + 1
 )
 
 var reasonNames = map[Reason]string{
 	ReasonReturned: "returned", ReasonDraining: "draining", ReasonUnregistered: "unregistered",
 	ReasonOtherService: "other-service", ReasonBusy: "busy", ReasonStopping: "stopping", ReasonSilent: "silent",
+	ReasonWarmingUp: "warming-up",
 }
 
 // String returns the reason's name in logs, or "" for an unknown one.
--- a/internal/flow/sidecar/sidecar.go
+++ b/internal/flow/sidecar/sidecar.go
@@ -165,6 +165,7 @@
 	flowCount        int
 	search           search
 	capacity         capacity
+	cold             coldUpstream
 	// unansweredOffers counts the offers since the last packet of the upstream. A
 	// retransmitted request for the same flow counts again.
 	unansweredOffers int
@@ -180,6 +181,7 @@
 	buffer           []byte
 	lastSweep        clock.Millis
 	counts           [OutcomeCount]uint64
+	refusals         [relay.ReasonCount]uint64
 }
 
 // New returns a Sidecar that refuses new flows until SetService and Accept are called.
@@ -245,6 +247,9 @@
 // Count returns how often an outcome has occurred.
 func (s *Sidecar) Count(o Outcome) uint64 { return s.counts[o] }
 
+// Refusals returns how often a new flow was refused for a reason.
+func (s *Sidecar) Refusals(reason relay.Reason) uint64 { return s.refusals[reason] }
+
 // HandleMessage handles a message from a balancer or another sidecar.
 func (s *Sidecar) HandleMessage(now clock.Millis, from netip.AddrPort, m relay.Message) {
 	switch m.Kind {
@@ -345,7 +350,11 @@
 		if reason == 0 && f == nil && !s.hasCapacity(now, m) {
 			reason = relay.ReasonBusy
 		}
+		if reason == 0 && f == nil && !s.cold.allow(now) {
+			reason = relay.ReasonWarmingUp
+		}
 		if reason != 0 {
+			s.refusals[reason]++
 			s.record(Event{Outcome: OutcomeRefused, Key: p.Key, Balancer: from, Reason: reason, Load: s.Load()})
 			s.respond(from, relay.KindRefused, reason, p.Key)
 			return
@@ -442,6 +451,7 @@
 	s.publish(now)
 	s.checkResponses(now)
 	s.capacity.expire(now)
+	s.cold.applyLeft(now)
 	if now-s.lastSweep < clock.Second {
 		return
 	}
