--- a/internal/flow/node/metrics.go
+++ b/internal/flow/node/metrics.go
@@ -4,6 +4,7 @@
 	"net/netip"
 
 	"github.com/orioledyke/orioledyke/internal/flow/balancer"
+	"github.com/orioledyke/orioledyke/internal/flow/relay"
 	"github.com/orioledyke/orioledyke/internal/flow/sidecar"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
@@ -13,11 +14,15 @@
 // They surround the latency goals of 120 to 800 ms.
 var responseBuckets = []float64{0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1, 2.5}
 
-// counterFunc registers a counter that is read when metrics are collected, so that it
-// adds no work for each packet.
+// counterFunc registers a counter of one outcome that is read when metrics are collected,
+// so that it adds no work for each packet.
 func (b *base) counterFunc(name, help, outcome string, read func() uint64) {
+	b.labelledCounterFunc(name, help, prometheus.Labels{"outcome": outcome}, read)
+}
+
+func (b *base) labelledCounterFunc(name, help string, labels prometheus.Labels, read func() uint64) {
 	b.telemetry.Registry().MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
-		Name: name, Help: help, ConstLabels: prometheus.Labels{"outcome": outcome},
+		Name: name, Help: help, ConstLabels: labels,
 	}, func() float64 {
 		b.mutex.Lock()
 		defer b.mutex.Unlock()
@@ -104,6 +109,12 @@
 		n.counterFunc("orioledyke_flow_sidecar_packets_total", "Decisions about packets.", o.String(),
 			func() uint64 { return n.machine.Count(o) })
 	}
+	for reason := range relay.ReasonCount {
+		if reason.String() != "" {
+			n.labelledCounterFunc("orioledyke_flow_sidecar_refusals_total", "Refused new flows.",
+				prometheus.Labels{"reason": reason.String()}, func() uint64 { return n.machine.Refusals(reason) })
+		}
+	}
 	n.responseTimes = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "orioledyke_flow_sidecar_response_seconds", Help: "Time from a request to the start of its response.",
 		Buckets: responseBuckets,
@@ -111,6 +122,9 @@
 	n.telemetry.Registry().MustRegister(n.responseTimes)
 	n.gaugeFunc("orioledyke_flow_sidecar_flows", "Open flows of the upstream.",
 		func() float64 { return float64(n.machine.Load().Flows) })
+	n.gaugeFunc("orioledyke_flow_sidecar_warmup_rate",
+		"Rate in flows a second to which the cold upstream is limited; 0 if it is not.",
+		func() float64 { return n.machine.WarmupRate(n.clock.Now()) })
 	n.gaugeFunc("orioledyke_flow_sidecar_requests", "Requests in progress.",
 		func() float64 { return float64(n.machine.Load().Active) })
 }
