--- a/internal/flow/balancer/selection.go
+++ b/internal/flow/balancer/selection.go
@@ -20,11 +20,11 @@
 )
 
 // selectSidecar selects a sidecar for a new flow among the usable ones that were not
-// attempted yet and are not full. The first attempt takes the cheaper of two random
+// attempted yet and are neither full nor paced. The first attempt takes the cheaper of two random
 // sidecars, of which one is in this data centre, if any is, or a sidecar that is due for a
 // trial. Later attempts take the cheapest. Sidecars of weight 0 are candidates only if
 // there is no other usable one. If there is no sidecar to select, best is nil, and full
-// reports whether a usable sidecar that was not attempted yet is full.
+// reports whether a usable sidecar that was not attempted yet is full or paced.
 func (b *Balancer) selectSidecar(now clock.Millis, p *pendingFlow) (best *sidecar, full bool) {
 	best, full = b.selectWeighted(now, p, false)
 	if best == nil && !full {
@@ -57,7 +57,7 @@
 				if b.takesTrial(now, p, sc) {
 					return sc, false
 				}
-			case sc.full(now, pastGoal):
+			case sc.full(now, pastGoal) || b.paced(now, sc):
 				full = true
 			default:
 				b.choice.Add(sc, sc.report.DataCentre == b.config.DataCentre)
--- a/internal/flow/balancer/sidecar.go
+++ b/internal/flow/balancer/sidecar.go
@@ -84,6 +84,8 @@
 	// pastGoalBusyUntil is the time until which no flow past its latency goal is placed
 	// on the sidecar.
 	busyUntil, pastGoalBusyUntil clock.Millis
+	// pace limits the new flows while the upstream is cold.
+	pace pace
 }
 
 // markUnresponsive records that the sidecar has not responded in time.
@@ -168,7 +170,8 @@
 		b.removeFromService(sc)
 		b.addToService(sc, r.Service)
 	}
-	if sc.report.Incarnation != r.Incarnation {
+	newIncarnation := sc.report.Incarnation != r.Incarnation
+	if newIncarnation {
 		sc.unresponsive = false
 	}
 	b.setLost(sc, false)
@@ -177,6 +180,7 @@
 	b.observeFailures(now, from, r)
 	b.setWeight(now, sc, b.config.Weight(from))
 	sc.evacuated = r.Evacuated || b.evacuated[r.DataCentre]
+	sc.pace.report(now, r.Warmup, newIncarnation)
 	if r.Departed {
 		b.removeFromService(sc)
 		delete(b.sidecars, from)
--- a/internal/flow/node/balancer.go
+++ b/internal/flow/node/balancer.go
@@ -57,7 +57,7 @@
 	behindLogged bool
 	digests      *digests
 	// warmupRate returns the warm-up rate of a service in requests a second by a
-	// configuration, 0 if there is no limit. Nil means that there is none.
+	// configuration, 0 if there is no limit.
 	warmupRate func(*route.Table, identity.ServiceID) float64
 	// compressed is the configuration that peers get.
 	compressed compressedConfiguration
@@ -89,11 +89,12 @@
 		ToClient:    b.toClient,
 		Random:      random,
 		AllReported: n.allReported,
+		Balancers:   n.balancerCount,
 		LossChanged: n.logLoss,
 		Outliers:    n.outliers,
 		Observe:     n.observe,
 	})
-	n.digests = &digests{node: n}
+	n.digests, n.warmupRate = &digests{node: n}, (*route.Table).WarmupRate
 	n.storeRestored = n.handleRestore
 	n.directory = b.newDirectory(platform.Balancers, n.addHosts)
 	n.registerMetrics()
@@ -241,6 +242,13 @@
 	return now-n.startedAt >= wait && len(n.sidecars.Awaited(now)) == 0
 }
 
+// balancerCount returns the number of live balancers and of listed ones whose first message
+// is expected, including this one.
+func (n *balancerNode) balancerCount() int {
+	now := n.clock.Now()
+	return 1 + len(n.balancers.Live(now)) + len(n.balancers.Awaited(now))
+}
+
 // handleRestore handles a restore of the store that this process has noticed.
 func (n *balancerNode) handleRestore() {
 	n.endOutdatedWatch()
--- a/internal/flow/node/digest_test.go
+++ b/internal/flow/node/digest_test.go
@@ -38,6 +38,7 @@
 	c.Cleanup(func() { _ = r.sender.Close() })
 	self := netip.AddrPortFrom(netip.MustParseAddr("127.1.0.1"), r.listener.LocalAddr().(*net.UDPAddr).AddrPort().Port())
 	r.node = &balancerNode{
+		warmupRate: (*route.Table).WarmupRate,
 		base: &base{
 			settings: settings.FlowProcess{RelayAddress: self}, relayConn: r.sender, clock: clock.System(),
 			balancers: peerset.New(self.Addr()),
--- a/internal/flow/node/evacuation.go
+++ b/internal/flow/node/evacuation.go
@@ -135,7 +135,7 @@
 // warmupRateOf returns the warm-up rate of a sidecar's service, 0 if there is none.
 func (n *balancerNode) warmupRateOf(table *route.Table, host netip.Addr) float64 {
 	service, known := n.machine.Service(netip.AddrPortFrom(host, n.settings.RelayAddress.Port()))
-	if !known || n.warmupRate == nil {
+	if !known {
 		return 0
 	}
 	return n.warmupRate(table, service)
@@ -195,7 +195,7 @@
 // configuration in effect or had one in the replaced one.
 func (d *digests) spreadWarmupRates(now clock.Millis, replaced *route.Table) {
 	n := d.node
-	if n.warmupRate == nil || n.stopping {
+	if n.stopping {
 		return
 	}
 	for _, host := range d.notified(now) {
@@ -232,7 +232,5 @@
 
 // applyWarmup puts the warm-up rate into effect for the rest of the upstream's warm-up.
 func (n *sidecarNode) applyWarmup(now clock.Millis) {
-	if n.setWarmup != nil {
-		n.setWarmup(n.warmupRate, n.registration.Warmup(now))
-	}
+	n.setWarmup(n.warmupRate, n.registration.Warmup(now))
 }
--- a/internal/flow/node/evacuation_test.go
+++ b/internal/flow/node/evacuation_test.go
@@ -203,7 +203,8 @@
 	b := r.node.base
 	b.settings.DataCentre = "hope"
 	n := &sidecarNode{
-		base: b, machine: sidecar.New(sidecar.Config{}), registration: registration.New(registration.Config{}), drainRestored: true,
+		setWarmup: func(float64, clock.Millis) {},
+		base:      b, machine: sidecar.New(sidecar.Config{}), registration: registration.New(registration.Config{}), drainRestored: true,
 	}
 	n.machine.Accept()
 	n.balancers.MarkSeen(time.Now(), netip.MustParseAddr("127.2.0.1"), clock.Minute)
--- a/internal/flow/node/sidecar.go
+++ b/internal/flow/node/sidecar.go
@@ -73,7 +73,7 @@
 	drainRestored bool
 	// warmupRate is the warm-up rate of the service in requests a second, 0 if there is no
 	// limit, by version warmupVersion of the configuration. setWarmup puts it into effect with
-	// the time for which the upstream is still cold; nil if the machine does not support it.
+	// the time for which the upstream is still cold.
 	warmupRate    float64
 	warmupVersion uint64
 	setWarmup     func(rate float64, left clock.Millis)
@@ -107,6 +107,7 @@
 		RequestID:  platform.RequestID, ResponseStatus: platform.ResponseStatus, NotExecuted: platform.NotExecuted, MaxDataSize: platform.MaxDataSize,
 		Observe: n.observe,
 	})
+	n.setWarmup = n.machine.SetWarmup
 	n.machine.SetService(platform.ServiceID(s.Service))
 	n.machine.SetLearning(true)
 	n.directory = b.newDirectory(platform.Sidecars, n.addBalancers)
@@ -244,7 +245,8 @@
 		n.learnUntil = n.clock.Now() + clock.FromDuration(n.settings.FlowLifetime)
 	}
 	n.logger.Info("upstream-registered", zap.String("upstream", h.ID), zap.Int64("born", h.StartedAt),
-		zap.Uint64("sequence", h.Sequence), zap.String("service", h.Service))
+		zap.Uint64("sequence", h.Sequence), zap.String("service", h.Service),
+		zap.Int64("warmup-ms", int64(h.Warmup)))
 	if !first {
 		n.machine.DropFlows()
 		n.learnUntil = n.clock.Now() + clock.FromDuration(n.settings.FlowLifetime)
--- a/internal/flow/node/sidecar_test.go
+++ b/internal/flow/node/sidecar_test.go
@@ -20,6 +20,7 @@
 		var time clock.Manual
 		address := netip.MustParseAddrPort("127.4.0.1:7004")
 		n := &sidecarNode{
+			setWarmup:    func(float64, clock.Millis) {},
 			base:         &base{clock: time.Clock(), logger: zap.NewNop(), balancers: peerset.New(address.Addr())},
 			machine:      sidecar.New(sidecar.Config{}),
 			registration: registration.New(registration.Config{Address: address}), drainRestored: true,
--- a/internal/flow/relay/message.go
+++ b/internal/flow/relay/message.go
@@ -82,12 +82,18 @@
 	ReasonSilent
 	// ReasonEvacuated means that the operator has evacuated the sidecar's data centre.
 	ReasonEvacuated
+	// ReasonWarmingUp means that the upstream is cold and has got as many new flows as its
+	// service's warm-up rate allows. The flow may be placed on the same sidecar again later.
+	ReasonWarmingUp
+	// ReasonCount is higher than every reason.
+	ReasonCount = ReasonWarmingUp + 1
 )
 
 var reasonNames = map[Reason]string{
 	ReasonReturned: "returned", ReasonDraining: "draining", ReasonUnregistered: "unregistered",
 	ReasonOtherService: "other-service", ReasonBusy: "busy", ReasonStopping: "stopping", ReasonSilent: "silent",
 	ReasonEvacuated: "evacuated",
+	ReasonWarmingUp: "warming-up",
 }
 
 // String returns the reason's name in logs, or "" for an unknown one.
--- a/internal/flow/sidecar/sidecar.go
+++ b/internal/flow/sidecar/sidecar.go
@@ -184,6 +184,7 @@
 	lastRejectedClient netip.Addr
 	// offers holds the offers to which the upstream may still respond, in order of time.
 	offers []expectation
+	cold   coldUpstream
 	// unansweredOffers counts the offers since the last packet of the upstream. A
 	// retransmitted request for the same flow counts again.
 	unansweredOffers int
@@ -200,6 +201,7 @@
 	lastTick         clock.Millis
 	lastSweep        clock.Millis
 	counts           [OutcomeCount]uint64
+	refusals         [relay.ReasonCount]uint64
 }
 
 // New returns a Sidecar that refuses new flows until SetService and Accept are called.
@@ -277,6 +279,9 @@
 // Count returns how often an outcome has occurred.
 func (s *Sidecar) Count(o Outcome) uint64 { return s.counts[o] }
 
+// Refusals returns how often a new flow was refused for a reason.
+func (s *Sidecar) Refusals(reason relay.Reason) uint64 { return s.refusals[reason] }
+
 // HandleMessage handles a message from a balancer or another sidecar.
 func (s *Sidecar) HandleMessage(now clock.Millis, from netip.AddrPort, m relay.Message) {
 	switch m.Kind {
@@ -380,7 +385,11 @@
 		if reason == 0 && f == nil && !s.hasCapacity(now, m, p.Key.Service()) {
 			reason = relay.ReasonBusy
 		}
+		if reason == 0 && f == nil && !s.cold.allow(now) {
+			reason = relay.ReasonWarmingUp
+		}
 		if reason != 0 {
+			s.refusals[reason]++
 			s.record(Event{Outcome: OutcomeRefused, Key: p.Key, Balancer: from, Reason: reason, Load: s.Load()})
 			s.respond(from, relay.KindRefused, reason, p.Key)
 			return
@@ -481,6 +490,7 @@
 	s.checkResponses(now)
 	s.capacity.expire(now)
 	s.findSilence(now)
+	s.cold.applyLeft(now)
 	if now-s.lastSweep < clock.Second {
 		return
 	}
