balancer: Keep new flows while configuration and heartbeats are awaited

After all processes start at once, requests that arrived before the configuration were dropped, and their clients sent again 200 ms later. Requests before the first heartbeat of an upstream were refused 250 ms after all sidecars had reported, so that clients used up their attempts while the heartbeat came within 1.2 s.

Early requests are now kept and placed when the configuration comes, and flows wait up to 1.3 s while a sidecar of their service has started within 2.5 s without a heartbeat, or while the balancer itself has and knows no sidecar of the service.

--- a/internal/flow/balancer/balancer.go
+++ b/internal/flow/balancer/balancer.go
@@ -29,9 +29,13 @@
 	defaultIdleTimeout = 30 * clock.Second
 	// waitTimeout is how long a new flow waits while its service has no usable sidecar.
 	waitTimeout clock.Millis = 250
-	// startupWaitTimeout replaces waitTimeout while some sidecars have not reported yet. It
-	// covers the time in which the client retransmits its request.
+	// startupWaitTimeout replaces waitTimeout while some sidecars have not reported yet or
+	// the first heartbeat of an upstream of the service is expected. It covers the time in
+	// which the client retransmits its request.
 	startupWaitTimeout clock.Millis = 1300
+	// firstHeartbeatTime is the time within which a sidecar that has started gets the first
+	// heartbeat of its upstream. Heartbeats come about every 1.2 s, and one may be lost.
+	firstHeartbeatTime clock.Millis = 2500
 	// waitPollInterval is the time after which the balancer tries again to place the
 	// waiting flows.
 	waitPollInterval clock.Millis = 20
@@ -143,6 +147,9 @@
 	// Balancers returns the number of live balancers, including this one. They share the
 	// rates of cold upstreams. If Balancers is nil, this one counts as the only one.
 	Balancers func() int
+	// Starting reports whether this process has started so recently that other processes
+	// may still be starting. If Starting is nil, they are not.
+	Starting func() bool
 	// LossChanged is called when a sidecar begins or ceases to count as lost, with the time
 	// since its last message. It may be nil.
 	LossChanged func(sidecar netip.AddrPort, lost bool, silence clock.Millis)
@@ -167,6 +174,7 @@
 	flows   map[segment.Key]*flow
 	// waiting holds the pending flows that no sidecar can take now.
 	waiting []*pendingFlow
+	early   earlyRequests
 	// nextPoll is when the balancer next tries to place the waiting flows.
 	nextPoll clock.Millis
 	// attempts holds the placement attempts that wait for a response, and obsolete ones
@@ -239,6 +247,9 @@
 	if config.Balancers == nil {
 		config.Balancers = func() int { return 1 }
 	}
+	if config.Starting == nil {
+		config.Starting = func() bool { return false }
+	}
 	if config.AllReported == nil {
 		config.AllReported = func() bool { return true }
 	}
@@ -260,8 +271,10 @@
 	if b.table != nil && t.Version() <= b.table.Version() {
 		return false
 	}
+	b.now = now
 	b.holders.addTargets(now, b.table)
 	b.table = t
+	b.placeEarly(now)
 	return true
 }
 
@@ -284,7 +297,7 @@
 	}
 	f := b.flows[s.Key]
 	if s.IsRequest() {
-		b.handleRequest(now, f, s, packet)
+		b.handleRequest(now, now, f, s, packet)
 		return
 	}
 	if f != nil && f.owner.IsValid() && !b.abandonsOwner(f) {
--- a/internal/flow/balancer/balancer_test.go
+++ b/internal/flow/balancer/balancer_test.go
@@ -54,6 +54,7 @@
 	balancer    *balancer.Balancer
 	now         clock.Millis
 	allReported bool
+	starting    bool
 	// forwards holds the recipient of each datagram to a sidecar, or searchRequest.
 	forwards []string
 	resets   int
@@ -69,6 +70,13 @@
 // newHarnessWithLink returns a harness with a link of the given rate. If the rate is not
 // 0, the flows of the route are bulk flows.
 func newHarnessWithLink(t *testing.T, linkRateMbps float64) *harness {
+	h := newHarnessWithoutTable(t, linkRateMbps)
+	h.setTable(linkRateMbps > 0)
+	return h
+}
+
+// newHarnessWithoutTable returns a harness that knows no configuration.
+func newHarnessWithoutTable(t *testing.T, linkRateMbps float64) *harness {
 	h := &harness{c: qt.New(t), now: 10 * clock.Second, allReported: true}
 	h.balancer = balancer.New(balancer.Config{
 		DataCentre: "agassiz", LinkRate: linkRateMbps,
@@ -92,15 +100,19 @@
 		ToClient:    func(netip.Addr, []byte) { h.resets++ },
 		Random:      func(int) int { return 0 },
 		AllReported: func() bool { return h.allReported },
+		Starting:    func() bool { return h.starting },
 		LossChanged: func(_ netip.AddrPort, lost bool, _ clock.Millis) { h.losses = append(h.losses, lost) },
 	})
+	return h
+}
+
+func (h *harness) setTable(bulk bool) {
 	h.balancer.SetTable(h.now, route.NewTable(route.Config{Version: 1, Routes: []route.Route{
 		{
-			Address: serviceAddress, Targets: []route.Target{{Service: portal, Weight: 1}}, Bulk: linkRateMbps > 0,
+			Address: serviceAddress, Targets: []route.Target{{Service: portal, Weight: 1}}, Bulk: bulk,
 			LatencyGoal: 120, Timeout: 1200,
 		},
 	}}))
-	return h
 }
 
 func (h *harness) report(i int, accepting bool, load relay.Load) {
--- a/internal/flow/balancer/pendingflow.go
+++ b/internal/flow/balancer/pendingflow.go
@@ -85,8 +85,8 @@
 	return x
 }
 
-// handleRequest handles a client's request for a new flow.
-func (b *Balancer) handleRequest(now clock.Millis, f *flow, s segment.Segment, packet []byte) {
+// handleRequest handles a client's request for a new flow, which arrived at receivedAt.
+func (b *Balancer) handleRequest(now, receivedAt clock.Millis, f *flow, s segment.Segment, packet []byte) {
 	retransmissions := s.Acknowledged
 	if f != nil && retransmissions > 0 && f.accepted && now-f.acceptedAt <= maxOpenTimeout {
 		// The upstream's response was lost. The upstream sends it again when it gets
@@ -96,6 +96,9 @@
 		b.counts[OutcomeForwarded]++
 		return
 	}
+	if b.table == nil && b.early.add(now, s.Key, packet) {
+		return
+	}
 	r, ok := b.table.Lookup(s.Key.Service())
 	if !ok {
 		b.refuse(s.Key, retransmissions, Event{Outcome: OutcomeNoRoute, Key: s.Key, Version: b.table.Version()})
@@ -106,7 +109,7 @@
 		f.owner, f.accepted = netip.AddrPort{}, false
 		f.service, f.bulk, f.repeatable = r.Service(s.Key), r.Bulk, r.Repeatable
 		f.pending = &pendingFlow{
-			key: s.Key, service: f.service, packet: bytes.Clone(packet), firstSent: now - requestAge(retransmissions),
+			key: s.Key, service: f.service, packet: bytes.Clone(packet), firstSent: receivedAt - requestAge(retransmissions),
 			latencyGoal: r.LatencyGoal, openTimeout: openTimeout(r.Timeout),
 		}
 	}
@@ -155,7 +158,7 @@
 	if p.outstanding > 0 {
 		return
 	}
-	if full || (len(p.attempted) == 0 && now-p.firstSent < b.currentWaitTimeout()) {
+	if full || (len(p.attempted) == 0 && now-p.firstSent < b.currentWaitTimeout(now, p.service)) {
 		b.waitForSidecar(now, p)
 		return
 	}
@@ -184,13 +187,23 @@
 
 // currentWaitTimeout returns how long a pending flow waits while its service has no
 // usable sidecar.
-func (b *Balancer) currentWaitTimeout() clock.Millis {
-	if b.config.AllReported() {
+func (b *Balancer) currentWaitTimeout(now clock.Millis, service identity.ServiceID) clock.Millis {
+	if b.config.AllReported() && !b.awaitsHeartbeat(now, service) {
 		return waitTimeout
 	}
 	return startupWaitTimeout
 }
 
+// awaitsHeartbeat reports whether an upstream of a service has probably started but not
+// sent its first heartbeat yet, without which its sidecar accepts no flow. A sidecar that
+// starts before its upstream reports that it has departed, so that none may be known.
+func (b *Balancer) awaitsHeartbeat(now clock.Millis, service identity.ServiceID) bool {
+	if len(b.services[service]) == 0 {
+		return b.config.Starting()
+	}
+	return slices.ContainsFunc(b.services[service], func(sc *sidecar) bool { return sc.awaitsHeartbeat(now) })
+}
+
 // openTimeout returns how long a client waits for a flow to open. timeout is the
 // route's request timeout; 0 means unknown.
 func openTimeout(timeout clock.Millis) clock.Millis {
--- a/internal/flow/balancer/sidecar.go
+++ b/internal/flow/balancer/sidecar.go
@@ -76,6 +76,8 @@
 	// pastGoalBusyUntil is the time until which no flow past its latency goal is placed
 	// on the sidecar.
 	busyUntil, pastGoalBusyUntil clock.Millis
+	// incarnationSince is when the first report of the current incarnation arrived.
+	incarnationSince clock.Millis
 	// pace limits the new flows while the upstream is cold.
 	pace pace
 }
@@ -100,6 +102,12 @@
 	return maxMissedReports * interval
 }
 
+// awaitsHeartbeat reports whether the sidecar has started a short time ago and not got a
+// heartbeat yet. It learns the number of slots by the first one.
+func (sc *sidecar) awaitsHeartbeat(now clock.Millis) bool {
+	return sc.report.Slots == 0 && !sc.report.Stopping && now-sc.incarnationSince < firstHeartbeatTime
+}
+
 // suspect reports whether the sidecar is silent for longer than usual, so that it may have
 // failed. A sidecar that stops for a restart is expected back.
 func (sc *sidecar) suspect(now clock.Millis) bool {
@@ -159,7 +167,7 @@
 	}
 	newIncarnation := sc.report.Incarnation != r.Incarnation
 	if newIncarnation {
-		sc.unresponsive = false
+		sc.unresponsive, sc.incarnationSince = false, now
 	}
 	b.setLost(sc, false)
 	sc.report, sc.lastSeen, sc.placed = r, now, 0
--- a/internal/flow/node/balancer.go
+++ b/internal/flow/node/balancer.go
@@ -24,6 +24,9 @@
 	// them, it only waits reportWaitWithDirectory for the responses of other processes.
 	reportWait                           = clock.Second
 	reportWaitWithDirectory clock.Millis = 300
+	// startupTime is how long after the start of this process the others may be starting,
+	// such as after all hosts lost power. It covers two heartbeat intervals of upstreams.
+	startupTime clock.Millis = 2500
 	// If no packet arrives for drainQuietTime, the routers have stopped sending to this
 	// balancer.
 	drainQuietTime    clock.Millis = 1200
@@ -78,6 +81,7 @@
 		Random:      random,
 		AllReported: n.allReported,
 		Balancers:   n.balancerCount,
+		Starting:    func() bool { return n.clock.Now()-n.startedAt < startupTime },
 		LossChanged: n.logLoss,
 		Observe:     n.observe,
 	})
--- a/internal/flow/node/configuration.go
+++ b/internal/flow/node/configuration.go
@@ -46,6 +46,7 @@
 	if _, since, behind := n.versions.Behind(now); behind {
 		fields = append(fields, zap.Int64("behind-ms", int64(since)))
 	}
+	n.setTimer(now)
 	n.versions.Applied(now, table.Version(), source == sourcePeer)
 	n.behindLogged = false
 	n.digests.spread(now)
