balancer: Test the age of requests before the configuration

A request that was taken for new when the configuration came went unnoticed; the test now has one that is past its goal only by the time for which it was kept.

--- a/internal/flow/balancer/early_test.go
+++ b/internal/flow/balancer/early_test.go
@@ -11,7 +11,7 @@
 
 // Guards against a request that is lost because it arrives before the configuration, so
 // that its client waits until it retransmits it, and against one that is placed twice
-// because of a retransmission or after its client has stopped waiting.
+// because of a retransmission, after its client has stopped waiting, or as if it were new.
 func TestRequestBeforeConfiguration(t *testing.T) {
 	h := newHarnessWithoutTable(t, 0)
 	h.reportAll()
@@ -20,12 +20,16 @@
 	h.balancer.HandleClient(h.now, packetFrom(2, openFlags, 1, 0))
 	h.now += 400
 	h.balancer.HandleClient(h.now, packetFrom(2, openFlags, 2, 0))
-	h.now += 501
+	h.now += 301
+	h.balancer.HandleClient(h.now, packetFrom(3, openFlags, 0, 0))
+	h.now += 200
 	h.c.Assert(h.messages, qt.HasLen, 0)
 	h.reportAll()
 	h.setTable(false)
-	h.c.Assert(h.messages, qt.HasLen, 1)
-	h.c.Assert(h.messages[0].PastGoal, qt.IsTrue)
+	h.c.Assert(h.messages, qt.HasLen, 2)
+	for _, m := range h.messages {
+		h.c.Assert(m.PastGoal, qt.IsTrue)
+	}
 	h.c.Assert(h.balancer.Count(balancer.OutcomeExpired), qt.Equals, uint64(1))
 	h.c.Assert(h.balancer.Count(balancer.OutcomeNoRoute), qt.Equals, uint64(0))
 	h.c.Assert(h.resets, qt.Equals, 0)
