node: Keep announced directives within the control budget

Eight hosts a round exceeded 8 KB a second at 500 balancers and 4,700 sidecars. Balancers begin with a random host. The log names the evacuated data centre in a field of its own, because each line has data-centre already.

--- a/internal/flow/node/digest.go
+++ b/internal/flow/node/digest.go
@@ -62,8 +62,10 @@
 	// together reach all of them.
 	announceUntil clock.Millis
 	announceTurn  peerset.Rotation
-	// directivesTurn rotates through the hosts that get directives.
-	directivesTurn peerset.Rotation
+	// directivesTurn rotates through all hosts from a random one; they get directives.
+	// directivesCredit is the number of bytes that remain for announced directives.
+	directivesTurn   peerset.Rotation
+	directivesCredit int
 	// notifies caches whether this balancer is a sibling notifier of each sidecar. It is
 	// valid while the live balancers are liveBalancers.
 	notifies      map[netip.Addr]bool
@@ -127,9 +129,7 @@
 		d.send(now, listed, true)
 	}
 	d.send(now, d.hostTurn.Next(all, digestsPerRound), false)
-	if n.evacuations.Announces(now) {
-		d.sendDirectives(d.directivesTurn.Next(all, directivesPerRound))
-	}
+	d.announceDirectives(now, all)
 	if now < d.announceUntil && !n.stopping {
 		d.announceEpoch(d.announceTurn.Next(all, announcedPerRound))
 	}
@@ -138,9 +138,17 @@
 // startAnnouncing begins to announce a restore of the store.
 func (d *digests) startAnnouncing(now clock.Millis) {
 	d.announceUntil = now + epochAnnounceTime
-	if known := slices.Concat(d.node.balancers.Live(now), d.node.sidecars.Live(now)); len(known) > 0 {
-		d.announceTurn = peerset.StartAfter(known[random(len(known))])
+	d.announceTurn = d.randomTurn(now)
+}
+
+// randomTurn returns a rotation through all hosts from a random one, so that many balancers
+// that start at the same time do not all begin with the same hosts.
+func (d *digests) randomTurn(now clock.Millis) peerset.Rotation {
+	known := slices.Concat(d.node.balancers.Live(now), d.node.sidecars.Live(now))
+	if len(known) == 0 {
+		return peerset.Rotation{}
 	}
+	return peerset.StartAfter(known[random(len(known))])
 }
 
 // announceEpoch tells hosts the epoch of the store.
--- a/internal/flow/node/digest_test.go
+++ b/internal/flow/node/digest_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/netip"
 	"testing"
@@ -11,6 +12,7 @@
 	"github.com/orioledyke/orioledyke/internal/common/settings"
 	"github.com/orioledyke/orioledyke/internal/flow/balancer"
 	"github.com/orioledyke/orioledyke/internal/flow/configuration"
+	"github.com/orioledyke/orioledyke/internal/flow/evacuation"
 	"github.com/orioledyke/orioledyke/internal/flow/peerset"
 	"github.com/orioledyke/orioledyke/internal/flow/relay"
 	"github.com/orioledyke/orioledyke/internal/flow/route"
@@ -95,20 +97,34 @@
 	}
 }
 
-const (
-	// datagramHeaderSize is the size of the IPv4 and UDP headers in bytes.
-	datagramHeaderSize = 28
-	// controlBudget is the users' target for the control traffic of one node, in bytes
-	// a second.
-	controlBudget = 8 << 10
-)
+// controlBudget is the users' target for the control traffic of one node, in bytes a second.
+const controlBudget = 8 << 10
 
 // Guards against control traffic that grows with the number of hosts, also while a restore
-// of the store is announced, and against digests that state a wrong interval to the next
-// digest or report.
+// of the store or evacuations are announced, and against digests that state a wrong interval
+// to the next digest or report.
 func TestDigestsAreBounded(t *testing.T) {
+	for name, prepare := range map[string]func(*balancerNode){
+		"calm":               func(*balancerNode) {},
+		"restore":            func(n *balancerNode) { n.digests.announceUntil = clock.Minute },
+		"1 evacuation":       func(n *balancerNode) { evacuateMany(n, 1) },
+		"11 evacuations":     func(n *balancerNode) { evacuateMany(n, 11) },
+		"restore, evacuated": func(n *balancerNode) { evacuateMany(n, 11); n.digests.announceUntil = clock.Minute },
+	} {
+		t.Run(name, func(t *testing.T) { checkDigestsAreBounded(t, prepare) })
+	}
+}
+
+// evacuateMany lets a balancer know a number of evacuated data centres.
+func evacuateMany(n *balancerNode, count int) {
+	for i := range count {
+		n.evacuations.Merge(0, []evacuation.Record{{DataCentre: fmt.Sprintf("fraser-valley-%d", i), Evacuated: true}})
+	}
+}
+
+func checkDigestsAreBounded(t *testing.T, prepare func(*balancerNode)) {
 	r := newDigestRecorder(t)
-	r.node.digests.announceUntil = clock.Minute
+	prepare(r.node)
 	const balancers, sidecars = 500, 4700
 	r.markSeen(balancers, sidecars)
 	total, bytes := 0, 0
--- a/internal/flow/node/evacuation.go
+++ b/internal/flow/node/evacuation.go
@@ -14,9 +14,13 @@
 )
 
 const (
-	// directivesPerRound is the number of hosts that get directives in a round of digests
-	// while records are announced.
-	directivesPerRound = 8
+	// directivesBudget is how many bytes the announced directives of a round of digests take
+	// on average, with the headers of their datagrams: one record with a name of 14 bytes goes
+	// to four hosts. At 500 balancers and 4,700 sidecars, digests and reports leave 666 bytes
+	// a second of the control budget.
+	directivesBudget = 330
+	// datagramHeaderSize is the size of the IPv4 and UDP headers in bytes.
+	datagramHeaderSize = 28
 	// directivesInterval is the shortest time between two directives to a host because it
 	// seems to know other records. Two hosts whose records differ for good, because one of
 	// them has no room for more, must not send each other messages without end.
@@ -29,14 +33,14 @@
 )
 
 // logEvacuations logs the evacuations that have begun or ended. source names the origin of
-// the records.
+// the records. The field data-centre of every line is the process's own data centre.
 func (b *base) logEvacuations(source string, u evacuation.Update) {
 	for _, r := range u.Transitions {
 		event := "evacuation-ended"
 		if r.Evacuated {
 			event = "evacuation-began"
 		}
-		b.logger.Info(event, zap.String("data-centre", r.DataCentre), zap.Uint64("revision", r.Revision.Number),
+		b.logger.Info(event, zap.String("evacuated-data-centre", r.DataCentre), zap.Uint64("revision", r.Revision.Number),
 			zap.Uint64("epoch", uint64(r.Revision.Epoch)), zap.String("source", source))
 	}
 }
@@ -93,6 +97,7 @@
 	n.logEvacuations(source, u)
 	n.machine.SetEvacuated(n.evacuations.DataCentres())
 	n.digests.sendDirectives(append(n.digests.randomPeers(now), n.digests.notified(now)...))
+	n.digests.directivesTurn = n.digests.randomTurn(now)
 }
 
 // handleDirectives merges the records of another process. If it lacks one, this balancer
@@ -191,6 +196,27 @@
 	}
 }
 
+// announceDirectives sends directives to the next hosts while records are announced. It leaves
+// out the rounds in which a restore of the store is announced, because both together exceed
+// the control budget.
+func (d *digests) announceDirectives(now clock.Millis, all []netip.Addr) {
+	if !d.node.evacuations.Announces(now) || now < d.announceUntil {
+		return
+	}
+	m := relay.Message{Kind: relay.KindDirectives, Directives: relay.Directives{Evacuations: d.node.evacuations.Records()}}
+	data, err := m.Append(nil)
+	if err != nil {
+		d.node.logger.Error("directives-failed", zap.Error(err))
+		return
+	}
+	size := datagramHeaderSize + len(data)
+	d.directivesCredit = min(d.directivesCredit+directivesBudget, max(directivesBudget, size))
+	if count := d.directivesCredit / size; count > 0 {
+		d.directivesCredit -= count * size
+		d.sendDirectives(d.directivesTurn.Next(all, count))
+	}
+}
+
 // spreadWarmupRates sends directives to the sidecars whose service has a warm-up rate in the
 // configuration in effect or had one in the replaced one.
 func (d *digests) spreadWarmupRates(now clock.Millis, replaced *route.Table) {
--- a/internal/flow/node/evacuation_test.go
+++ b/internal/flow/node/evacuation_test.go
@@ -101,11 +101,13 @@
 		r.node.digests.sendRound(time.Now())
 		return len(r.directives())
 	}
-	r.c.Assert(round(), qt.Equals, directivesPerRound)
+	const size = datagramHeaderSize + 12 + 18 + len("hope")
+	r.c.Assert(round(), qt.Equals, directivesBudget/size)
 	r.node.applyEvacuations(configuration.Document{Evacuations: withdrawn(8)}, false)
 	r.c.Assert(r.directives()[0].Evacuations, qt.DeepEquals, withdrawn(8))
-	for range clock.Minute/digestInterval - 1 {
-		r.c.Assert(round(), qt.Equals, directivesPerRound)
+	const rounds = int(clock.Minute/digestInterval) - 1
+	for range rounds {
+		r.c.Assert(round(), qt.Equals, directivesBudget/size)
 	}
 	r.c.Assert(round(), qt.Equals, 0)
 }
@@ -132,7 +134,7 @@
 	for _, entry := range logs.All() {
 		if strings.HasPrefix(entry.Message, "evacuation-") {
 			fields := entry.ContextMap()
-			events = append(events, fmt.Sprint(entry.Message, " ", fields["data-centre"], " ", fields["revision"], " ", fields["epoch"], " ", fields["source"]))
+			events = append(events, fmt.Sprint(entry.Message, " ", fields["evacuated-data-centre"], " ", fields["revision"], " ", fields["epoch"], " ", fields["source"]))
 		}
 	}
 	r.c.Assert(events, qt.DeepEquals, []string{"evacuation-began hope 7 2 peer", "evacuation-ended hope 8 2 peer"})
