fleet: Evacuate data centres under faults

The emulator spreads hosts over data centres, lets the operator evacuate and return them, and records a new flow that opens 4 s after the request through a balancer with a path to the store or to a balancer that knew.

--- a/internal/standin/fleet/balancer.go
+++ b/internal/standin/fleet/balancer.go
@@ -75,6 +75,7 @@
 	b.up, b.draining, b.startedAt = true, false, b.cluster.now
 	b.heardFrom = map[netip.AddrPort]bool{}
 	b.logic = balancer.New(balancer.Config{
+		DataCentre:  b.cluster.dataCentre(b.index),
 		Decode:      func(packet []byte) (segment.Segment, error) { return platform.DecodeSegment(packet, false) },
 		Reset:       platform.EncodeReset,
 		ToSidecar:   b.toSidecar,
@@ -201,6 +202,7 @@
 				m.Service = platform.ServiceID(serviceName(u.service))
 			}
 			u.receive(func() {
+				u.lastBalancer = b
 				if m.Kind == relay.KindPing {
 					u.report(b)
 					return
--- a/internal/standin/fleet/cluster.go
+++ b/internal/standin/fleet/cluster.go
@@ -48,6 +48,9 @@
 	// calls to a metadata store. Otherwise a configuration reaches each balancer after a
 	// delay of up to 1 s.
 	Store bool
+	// DataCentres is the number of data centres over which the hosts are spread; 0 means that
+	// all are in one without a name.
+	DataCentres int
 	// Mutant breaks one mechanism to test the oracle. 0 breaks none.
 	Mutant Mutant
 	// Remote is set if balancers and sidecars run outside of the cluster, nil otherwise.
@@ -105,6 +108,27 @@
 	storeMutantEnd
 )
 
+// Mutants of evacuations. They need Config.Store and Config.DataCentres.
+const (
+	// PeersUntold makes processes ignore the records of evacuations that others send them.
+	PeersUntold Mutant = iota + storeMutantEnd + 1
+	// RestartedUntold makes processes that have been restarted ignore all evacuations.
+	RestartedUntold
+	// RestoreEndsEvacuations makes balancers end an evacuation whose key the store has lost
+	// by a restore.
+	RestoreEndsEvacuations
+	evacuationMutantEnd
+)
+
+// EvacuationMutants returns the mutants that need Config.DataCentres.
+func EvacuationMutants() []Mutant {
+	var all []Mutant
+	for m := PeersUntold; m < evacuationMutantEnd; m++ {
+		all = append(all, m)
+	}
+	return all
+}
+
 // StoreMutants returns the mutants that need Config.Store.
 func StoreMutants() []Mutant {
 	var all []Mutant
--- a/internal/standin/fleet/learner.go
+++ b/internal/standin/fleet/learner.go
@@ -9,6 +9,7 @@
 
 	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/internal/flow/configuration"
+	"github.com/orioledyke/orioledyke/internal/flow/evacuation"
 	"github.com/orioledyke/orioledyke/internal/flow/route"
 	"github.com/orioledyke/orioledyke/internal/flow/store"
 	"github.com/orioledyke/orioledyke/internal/standin/metadata"
@@ -42,6 +43,16 @@
 	applied versionHistory
 	// turn numbers the balancers that have got a digest.
 	turn int
+	// evacuations holds what the balancer knows of evacuated data centres, and requestKnown
+	// which request of the operator it has last learned, for each data centre.
+	evacuations  evacuation.Set
+	requestKnown map[string]knownRequest
+	// heard holds the balancers that have told their version. directivesTurn numbers the hosts
+	// that have got directives in turn.
+	heard          map[netip.Addr]bool
+	directivesTurn int
+	// directedAt is the time of the last directives to a sidecar that seemed to need them.
+	directedAt map[*upstreamHost]clock.Millis
 	// lastReport is the time at which a peer has last reported a further version.
 	lastReport clock.Millis
 }
@@ -54,7 +65,10 @@
 }
 
 func newLearner(b *balancerHost) *learner {
-	l := &learner{balancer: b, peers: configuration.NewPeers()}
+	l := &learner{
+		balancer: b, peers: configuration.NewPeers(), heard: map[netip.Addr]bool{}, requestKnown: map[string]knownRequest{},
+		directedAt: map[*upstreamHost]clock.Millis{},
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	follower := configuration.New(configuration.Config{
 		Read: func(context.Context) (configuration.Document, error) {
@@ -65,7 +79,8 @@
 			r := l.request(func() { l.startWatch(after, wait) })
 			return r.document, r.changed, r.err
 		},
-		WatchTimeout: l.watchTimeout,
+		WatchTimeout:     l.watchTimeout,
+		ApplyEvacuations: l.applyEvacuations,
 		Apply: func(content []byte) error {
 			version, err := strconv.ParseUint(string(content), 10, 64)
 			if err == nil {
@@ -123,8 +138,8 @@
 	var r reply
 	l.balancer.timeline.add(l.balancer.cluster.now, "read")
 	s.call(l.balancer.client, func(state *metadata.Store) {
-		item, _ := state.Get(configurationKey)
-		r.document = configuration.Document{Content: []byte(item.Value), Revision: l.revision(state.Revision())}
+		r.document = l.document(state.List(operatorPrefix, ""))
+		r.document.Revision = l.revision(state.Revision())
 	}, func(err error) {
 		r.err = err
 		l.responded(r)
@@ -146,11 +161,7 @@
 	w.respond = func(events []metadata.Item, available bool, err error) {
 		r := reply{err: err}
 		if err == nil {
-			r.document.Revision = l.revision(0)
-			if n := len(events); n > 0 {
-				r.changed, r.document.Content = true, []byte(events[n-1].Value)
-				r.document.Revision.Number = events[n-1].Revision
-			}
+			r.changed, r.document = len(events) > 0, l.document(events)
 			if !available && l.balancer.cluster.config.Mutant != CompactionIgnored {
 				r.err = configuration.ErrCompacted
 			}
@@ -224,6 +235,7 @@
 func (l *learner) sendDigests() {
 	now := l.balancer.cluster.now
 	l.sendVersion(l.nextPeers())
+	l.announceEvacuations()
 	l.fetch()
 	if w := l.watch; w != nil && l.peers.StoreOverdue(now) {
 		l.endWatch(w, reply{err: errStoreSilent})
@@ -256,6 +268,7 @@
 // report records the version of another balancer.
 func (l *learner) report(from netip.Addr, version uint64) {
 	now := l.balancer.cluster.now
+	l.greetBalancer(from)
 	if newest, _, _ := l.peers.Behind(now); version > max(newest, l.balancer.logic.Table().Version()) {
 		l.lastReport = now
 	}
@@ -279,6 +292,7 @@
 	l.after(clock.Millis(2+2*c.random.IntN(maxDelay)), func() {
 		l.fetching = false
 		if peer := c.balancers[i]; peer.up && l.balancer.reaches(peer) && peer.logic.Table() != nil {
+			l.mergeEvacuations(transfer(peer.learner.evacuations.Records()))
 			l.apply(peer.logic.Table().Version(), true)
 		}
 		l.peers.Ended(c.now, fetch)
--- a/internal/standin/fleet/remote.go
+++ b/internal/standin/fleet/remote.go
@@ -73,7 +73,7 @@
 // upstream. Packets shorter than a header are dropped.
 func (c *Cluster) DeliverToUpstream(upstream int, packet []byte) {
 	if len(packet) >= headerSize {
-		c.upstreams[upstream].handle(decode(packet), packet)
+		c.upstreams[upstream].handle(decode(packet), packet, nil)
 	}
 }
 
--- a/internal/standin/fleet/store.go
+++ b/internal/standin/fleet/store.go
@@ -21,8 +21,11 @@
 	// that is kept.
 	copyInterval = clock.Second
 	maxCopies    = 12
-	// configurationKey is the key of the operator's configuration.
-	configurationKey = "configuration"
+	// operatorPrefix is the prefix of the keys that the operator writes: his configuration,
+	// and a key for each evacuated data centre.
+	operatorPrefix   = "op/"
+	configurationKey = operatorPrefix + "config"
+	evacuationPrefix = operatorPrefix + "evacuate/"
 	// applyLimit is the time within which a configuration must be in effect on each
 	// balancer that another one or the store could tell of it.
 	applyLimit = 4 * clock.Second
@@ -74,6 +77,9 @@
 	lapsedAt clock.Millis
 	// written holds the versions that the operator has written.
 	written versionHistory
+	// evacuations holds the evacuations that the operator has requested and not withdrawn, and
+	// since when.
+	evacuations map[string]clock.Millis
 }
 
 // versionHistory holds versions and since when they are known, the newest last.
@@ -107,7 +113,7 @@
 	owners map[uint64]string
 }
 
-// watch is a watch of the configuration that waits at the store.
+// watch is a watch of the operator's keys that waits at the store.
 type watch struct {
 	client   *storeClient
 	after    uint64
@@ -129,7 +135,7 @@
 }
 
 func newStoreHost(c *Cluster) *storeHost {
-	s := &storeHost{cluster: c, state: metadata.New(), owners: map[uint64]string{}, configurations: map[uint64]route.Config{}}
+	s := &storeHost{cluster: c, state: metadata.New(), owners: map[uint64]string{}, configurations: map[uint64]route.Config{}, evacuations: map[string]clock.Millis{}}
 	s.writeConfiguration()
 	s.keepCopies()
 	c.after(versionInterval, s.checkVersions)
@@ -285,7 +291,7 @@
 // store has the revision of the watch is checked when the watch arrives, so that it goes on
 // across a restore.
 func (s *storeHost) answer(w *watch, timedOut bool) bool {
-	events, available := s.state.Events(configurationKey, w.after)
+	events, available := s.state.Events(operatorPrefix, w.after)
 	available = available || (w.accepted && w.after > s.state.Revision())
 	w.accepted = true
 	if len(events) == 0 && available && !timedOut {
@@ -357,12 +363,18 @@
 }
 
 // RestoreStore restores the store from the copy with the given age, 0 being the newest. The
-// operator writes the configuration again after rewriteDelay. Watches go on.
+// operator writes his keys again after rewriteDelay, or not at all if that is negative.
+// Watches go on.
 func (c *Cluster) RestoreStore(age int, rewriteDelay clock.Millis) {
 	s := c.store
 	from := s.copies[max(len(s.copies)-1-age, 0)]
 	s.state.Restore(from.state)
 	s.owners, s.undisturbedSince = maps.Clone(from.owners), c.now
 	s.wakeWatches()
-	c.after(rewriteDelay, s.writeConfiguration)
+	if rewriteDelay >= 0 {
+		c.after(rewriteDelay, func() {
+			s.writeConfiguration()
+			s.writeEvacuations()
+		})
+	}
 }
--- a/internal/standin/fleet/upstream.go
+++ b/internal/standin/fleet/upstream.go
@@ -5,6 +5,7 @@
 	"net/netip"
 
 	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/flow/evacuation"
 	"github.com/orioledyke/orioledyke/internal/flow/registration"
 	"github.com/orioledyke/orioledyke/internal/flow/relay"
 	"github.com/orioledyke/orioledyke/internal/flow/segment"
@@ -62,6 +63,10 @@
 	// it has looked for a drain, or had the time to.
 	keeper        *keeper
 	drainRestored bool
+	// evacuations holds what the sidecar knows of evacuated data centres.
+	evacuations evacuation.Set
+	// lastBalancer is the balancer whose message the sidecar has handled last.
+	lastBalancer *balancerHost
 	// timeline holds what the sidecar has learned and done lately.
 	timeline timeline
 
@@ -126,12 +131,13 @@
 	u.registration = registration.New(registration.Config{Address: u.upstreamAddress, Service: serviceName(u.service)})
 	u.registration.RestoreDrain(u.storedDrainStart)
 	u.drainRestored = u.cluster.store == nil
+	u.evacuations = evacuation.Set{}
 	u.logic = sidecar.New(sidecar.Config{
 		Decode: platform.DecodeSegment, ClearReturned: platform.ClearReturned,
 		ToUpstream: func(packet []byte) {
 			if u.upstreamUp {
-				h, raw := decode(packet), append([]byte(nil), packet...)
-				u.cluster.after(0, func() { u.handle(h, raw) })
+				h, raw, from := decode(packet), append([]byte(nil), packet...), u.lastBalancer
+				u.cluster.after(0, func() { u.handle(h, raw, from) })
 			}
 		},
 		ToClient: func(_ netip.Addr, packet []byte) { u.cluster.toClient(u.applyMisdelivery(packet)) },
@@ -192,10 +198,14 @@
 
 func (u *upstreamHost) sendToBalancer(b *balancerHost, m relay.Message) {
 	b.receive(func() {
+		if m.Kind == relay.KindReport && !b.heardFrom[u.relayAddress] {
+			b.greetSidecar(u)
+		}
 		if m.Kind == relay.KindReport {
 			b.heardFrom[u.relayAddress] = true
 		}
 		b.logic.HandleSidecar(u.cluster.now, u.relayAddress, m)
+		b.compareEvacuations(u, m)
 	})
 }
 
@@ -258,6 +268,7 @@
 	}
 	m := relay.Message{Kind: relay.KindReport, Report: relay.Report{
 		Service: platform.ServiceID(serviceName(u.service)), Accepting: u.logic.Accepting(),
+		DataCentre: u.cluster.dataCentre(u.index), Evacuated: u.logic.Evacuated(),
 		Departed: u.registration.Deregistered(), Stopping: u.sidecarStopping && u.cluster.config.Mutant != StopUnannounced,
 		Slots: slots, Load: u.logic.Load(), Addresses: addresses, AllListed: all,
 	}}
@@ -352,17 +363,18 @@
 	}
 }
 
-// handle processes a packet at the upstream. The upstream returns a packet to the sidecar if
+// handle processes a packet at the upstream that came through a balancer, which is nil if
+// that is not known. The upstream returns a packet to the sidecar if
 // it does not know the flow, or if the packet does not acknowledge the opening of a flow
 // that is not open yet.
-func (u *upstreamHost) handle(h header, raw []byte) {
+func (u *upstreamHost) handle(h header, raw []byte, from *balancerHost) {
 	if !u.upstreamUp {
 		return
 	}
 	key := flowKey(h.from, h.to)
 	f := u.flows[key]
 	if h.has(flagOpen) {
-		u.handleOpen(h, key, f)
+		u.handleOpen(h, key, f, from)
 		return
 	}
 	if f == nil || (!f.open && !f.ended && h.ack != f.firstSequence+1) {
@@ -387,11 +399,12 @@
 
 // handleOpen records a violation if no recent configuration sends the flow to this service, or if it is new and the
 // grace period of a drain has passed. It accepts the flow in any case.
-func (u *upstreamHost) handleOpen(h header, key segment.Key, f *upstreamFlow) {
+func (u *upstreamHost) handleOpen(h header, key segment.Key, f *upstreamFlow, from *balancerHost) {
 	if !u.cluster.allowed(h.to, u.service) {
 		u.cluster.recordViolation("a flow to %s was opened at %s", h.to, serviceName(u.service))
 	}
 	if f == nil {
+		u.cluster.checkEvacuation(u, from)
 		if u.drainAcknowledgedAt > 0 && u.cluster.now-u.drainAcknowledgedAt > drainGracePeriod {
 			u.cluster.recordViolation("upstream %d received a new flow %d ms after its drain was acknowledged\n%s",
 				u.index, u.cluster.now-u.drainAcknowledgedAt, &u.timeline)
