flow/worktime, flow/node: Log changes of an upstream's speed

Operators otherwise see only in metrics that an upstream has become slower or faster. A nil outlier.Tracker gives every upstream a weight of 1, so that placement needs no special case when the setting is off.

--- a/internal/flow/node/sidecar.go
+++ b/internal/flow/node/sidecar.go
@@ -312,6 +312,7 @@
 	defer n.mutex.Unlock()
 	now := n.clock.Now()
 	n.machine.Tick(now)
+	n.logSpeedChange(now)
 	if n.upstreamID != "" && now > n.learnUntil {
 		n.machine.SetLearning(false)
 	}
--- a/internal/flow/node/work.go
+++ b/internal/flow/node/work.go
@@ -1,9 +1,11 @@
 package node
 
 import (
+	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/internal/flow/sidecar"
 	"github.com/orioledyke/orioledyke/internal/flow/worktime"
 	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
 )
 
 const msPerSecond = 1000
@@ -24,6 +26,17 @@
 	}
 }
 
+// logSpeedChange logs that the upstream has become slower or faster.
+func (n *sidecarNode) logSpeedChange(now clock.Millis) {
+	factor, changed := n.machine.TakeSpeedChange()
+	if !changed {
+		return
+	}
+	w := n.machine.Work(now)
+	n.logger.Info("upstream-speed-changed", zap.String("upstream", n.upstreamID), zap.Float64("times-as-long", factor),
+		zap.Float64("service-ms", w.ServiceTime), zap.Int64("backlog-ms", int64(w.Remaining)))
+}
+
 // registerWorkMetrics registers the metrics of the work that the sidecar has learned.
 func (n *sidecarNode) registerWorkMetrics() {
 	for cause := range sidecar.FailureCount {
--- a/internal/flow/outlier/tracker.go
+++ b/internal/flow/outlier/tracker.go
@@ -235,8 +235,12 @@
 }
 
 // Weight returns how much new work an upstream should get in comparison with its siblings,
-// from 0 to 1. 0 means that it should get trial flows only. It is 1 for an unknown sidecar.
+// from 0 to 1. 0 means that it should get trial flows only. It is 1 for an unknown sidecar,
+// and if t is nil.
 func (t *Tracker) Weight(now clock.Millis, sidecar netip.AddrPort) float64 {
+	if t == nil {
+		return 1
+	}
 	m := t.members[sidecar]
 	switch {
 	case m == nil:
--- a/internal/flow/sidecar/work.go
+++ b/internal/flow/sidecar/work.go
@@ -69,6 +69,10 @@
 	}
 }
 
+// TakeSpeedChange returns the factor by which the work times of requests have changed at once
+// since the last call. It returns false if they have not.
+func (s *Sidecar) TakeSpeedChange() (factor float64, changed bool) { return s.work.TakeChange() }
+
 // Costs returns the learned work times of requests in order of address.
 func (s *Sidecar) Costs() []worktime.Cost { return s.work.Costs() }
 
--- a/internal/flow/worktime/learner.go
+++ b/internal/flow/worktime/learner.go
@@ -1,6 +1,7 @@
 package worktime
 
 import (
+	"cmp"
 	"math"
 	"net/netip"
 	"slices"
@@ -50,8 +51,10 @@
 	goal clock.Millis
 	// recent holds the last samples, the newest last.
 	recent []recentSample
-	// changedAt is when a change of speed was last noticed.
+	// changedAt is when a change of speed was last noticed. untold is the factor by which work
+	// times have changed since the last call of TakeChange, 0 if they have not.
 	changedAt clock.Millis
+	untold    float64
 }
 
 // addressTimes are the work times of the requests to one address.
@@ -214,6 +217,7 @@
 	}
 	l.learnRecent(len(l.recent))
 	l.changedAt = now
+	l.untold = cmp.Or(l.untold, 1) * factor
 }
 
 // forget reduces the weight of all samples, because the next ones may be of another process
--- a/internal/flow/worktime/tracker.go
+++ b/internal/flow/worktime/tracker.go
@@ -168,6 +168,14 @@
 // ServiceTime returns the expected time of one more request in milliseconds, without waiting.
 func (t *Tracker) ServiceTime() float64 { return t.learner.serviceTime() }
 
+// TakeChange returns the factor by which work times have changed at once since the last call.
+// It returns false if they have not.
+func (t *Tracker) TakeChange() (factor float64, changed bool) {
+	factor = t.learner.untold
+	t.learner.untold = 0
+	return factor, factor != 0
+}
+
 // Costs returns the learned work times in order of address.
 func (t *Tracker) Costs() []Cost { return t.learner.costs() }
 
--- a/internal/flow/worktime/worktime_test.go
+++ b/internal/flow/worktime/worktime_test.go
@@ -78,7 +78,7 @@
 }
 
 // Guards against a request of the former speed that ends after a change has been noticed and
-// hides it again.
+// hides it again, and against a change that is not logged, or logged with each report.
 func TestRequestDuringChangeIsLeftOut(t *testing.T) {
 	c := qt.New(t)
 	s := newSimulation(1)
@@ -93,6 +93,11 @@
 		s.tracker.End(s.now, r, true)
 	}
 	s.tracker.End(s.now+600, former, true)
+	factor, changed := s.tracker.TakeChange()
+	c.Assert(changed, qt.IsTrue)
+	assertWithin(c, factor, 0.1, 1.1)
+	_, changed = s.tracker.TakeChange()
+	c.Assert(changed, qt.IsFalse)
 	assertWithin(c, s.tracker.ServiceTime(), 10, 1.2)
 }
 
