--- a/internal/flow/sidecar/sidecar.go
+++ b/internal/flow/sidecar/sidecar.go
@@ -39,10 +39,6 @@
 	// of all kinds, even to a single one, and by itself refuses no flow. Any packet from
 	// the upstream resets both.
 	unresponsiveTimeout clock.Millis = 250
-	// minProvisionalStatus and minFinalStatus are the lowest status of a response that is
-	// followed by another one, and of one that is not.
-	minProvisionalStatus = 100
-	minFinalStatus       = 200
 	// minErrorStatus is the lowest status of a response that is not a success.
 	minErrorStatus = 400
 	// maxFirstAckDistance is the maximum distance in bytes of a client's first
@@ -239,13 +235,6 @@
 	s.learning = true
 }
 
-// Load returns the work of the upstream. Active includes the new flows whose first
-// request is still expected.
-func (s *Sidecar) Load() relay.Load {
-	const limit = 1<<16 - 1
-	return relay.Load{Active: uint16(min(s.work.Active()+s.capacity.expectedRequests, limit)), Flows: uint16(min(s.flowCount, limit))}
-}
-
 // Addresses returns the addresses of routes to which the upstream holds flows, in order,
 // and whether these are all of them. They are not while the sidecar learns flows.
 func (s *Sidecar) Addresses() (addresses []netip.AddrPort, all bool) {
--- a/internal/flow/sidecar/work.go
+++ b/internal/flow/sidecar/work.go
@@ -17,6 +17,10 @@
 	// paused. After a pause, responses that have arrived in it may not have been read yet, so
 	// nothing counts as silence at that call.
 	maxTickGap clock.Millis = 500
+	// minProvisionalStatus and minFinalStatus are the lowest status of a response that is
+	// followed by another one, and of one that is not.
+	minProvisionalStatus = 100
+	minFinalStatus       = 200
 	// minServerErrorStatus is the lowest status of a response that blames the upstream.
 	// statusTooManyRequests does so as well.
 	minServerErrorStatus  = 500
@@ -60,6 +64,13 @@
 // Failures returns how many requests have failed for a cause.
 func (s *Sidecar) Failures(cause Failure) uint64 { return s.failures[cause] }
 
+// Load returns the work of the upstream. Active includes the new flows whose first
+// request is still expected.
+func (s *Sidecar) Load() relay.Load {
+	const limit = 1<<16 - 1
+	return relay.Load{Active: uint16(min(s.work.Active()+s.capacity.expectedRequests, limit)), Flows: uint16(min(s.flowCount, limit))}
+}
+
 // Work returns what the sidecar has learned of its upstream's work, for a report.
 func (s *Sidecar) Work(now clock.Millis) relay.Work {
 	failed, ended := s.outcomes.Total(now)
