admission: Offer waiting flows by priority, goal and the room of upstreams

A balancer looked at its waiting flows every 20 ms, in one order for all priorities, and judged sidecars by the requests of their last report.

Package admission holds the flows that wait for a service, urgent ones first, then those in their goal, the newest first, with a tenth of the offers for each less urgent priority. Less urgent flows fill half of an upstream's queue. Waiting flows are offered when a report or response shows room or the estimate says that a slot becomes free; the 20 ms poll remains as a fallback. Refusals limit the rate of offers. A flow that cannot be served any more is refused, if this balancer has received every transmission of its request.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := bin
 TOOLS := $(abspath $(BIN)/tools)
 
-.PHONY: all build tools lint format generate test demo prove bench capacity measure fuzz mutants fleet soak
+.PHONY: all build tools lint format generate test demo prove bench capacity measure fuzz mutants fleet soak loads
 
 all: build
 
@@ -69,6 +69,10 @@
 	@ORIOLEDYKE_MEASURE=1 ORIOLEDYKE_MEASURE_OUTPUT=$(abspath out/measure.json) SEED=$(or $(SEED),1) \
 		$(GO) test -count=1 -timeout 30m -run '^TestMeasure$$' -v ./internal/standin/measure | grep -v -E '^(=== RUN|--- PASS|PASS|ok) *'
 
+# Plays the loads of docs/load-plan.md and replaces the table in docs/proof.md.
+loads:
+	ORIOLEDYKE_LOADS=$(abspath docs/proof.md) $(GO) test -count=1 -timeout 30m -run '^TestLoadTable$$' ./internal/flow/balancer
+
 # Runs the flow path among modelled routers, clients, upstreams and a store under faults.
 fleet:
 	$(GO) test -count=1 -run '^(TestFaults|TestStoreFaults)$$' ./internal/standin/fleet -fleet.seed $(or $(SEED),20261204) -fleet.seeds $(or $(SEEDS),100)
--- a/internal/flow/balancer/balancer.go
+++ b/internal/flow/balancer/balancer.go
@@ -33,8 +33,8 @@
 	// startupWaitTimeout replaces waitTimeout while some sidecars have not reported yet. It
 	// covers the time in which the client retransmits its request.
 	startupWaitTimeout clock.Millis = 1300
-	// waitPollInterval is the time after which the balancer tries again to place the
-	// waiting flows.
+	// waitPollInterval is the longest time after which the balancer tries again to place
+	// the waiting flows. Usually it does so earlier, when a sidecar has room.
 	waitPollInterval clock.Millis = 20
 	// maxFlows bounds the memory for flow entries, which take about 200 bytes each.
 	maxFlows = 100_000
@@ -89,6 +89,9 @@
 	OutcomeExpired
 	// OutcomeWaitingForLink means that a new bulk flow waits until the link has room.
 	OutcomeWaitingForLink
+	// OutcomeOverloaded means that a waiting flow was refused because no sidecar can take it
+	// before its client gives up.
+	OutcomeOverloaded
 	// OutcomeCount is the number of outcomes.
 	OutcomeCount
 )
@@ -96,7 +99,7 @@
 var outcomeNames = [OutcomeCount]string{
 	"placed", "moved-on", "timed-out", "forwarded", "searched", "reset", "no-route", "no-sidecar",
 	"invalid", "limited", "not-held", "claimed", "accepted", "waiting", "lost", "link-full", "unresolved",
-	"expired", "waiting-for-link",
+	"expired", "waiting-for-link", "overloaded",
 }
 
 // String returns the outcome's name in metrics and logs.
@@ -171,12 +174,20 @@
 	// the candidates of the current decision.
 	placements map[identity.ServiceID]*placement.Service
 	choice     placement.Choice[*sidecar]
-	holders    holders
-	flows      map[segment.Key]*flow
-	// waiting holds the pending flows that no sidecar can take now.
-	waiting []*pendingFlow
-	// nextPoll is when the balancer next tries to place the waiting flows.
-	nextPoll clock.Millis
+	// roomAt is when a sidecar is expected to have room for the flow of the last decision,
+	// at most waitPollInterval after it.
+	roomAt  clock.Millis
+	holders holders
+	flows   map[segment.Key]*flow
+	// queues holds the pending flows of each service that no sidecar can take now.
+	// waitingQueues are those of them that are not empty, and some that were not lately.
+	// mostUrgent is the most urgent priority of the routes to each service.
+	queues        map[identity.ServiceID]*serviceQueue
+	waitingQueues []*serviceQueue
+	mostUrgent    map[identity.ServiceID]int
+	// nextLook is when the balancer next tries to place waiting flows; 0 means that none
+	// wait.
+	nextLook clock.Millis
 	// attempts holds the placement attempts that wait for a response, and obsolete ones
 	// that have not been removed yet.
 	attempts      attempts
@@ -253,6 +264,7 @@
 		changedServices: map[identity.ServiceID]bool{},
 		joins:           map[identity.ServiceID]int{},
 		placements:      map[identity.ServiceID]*placement.Service{},
+		queues:          map[identity.ServiceID]*serviceQueue{},
 		choice:          placement.Choice[*sidecar]{Random: config.Random},
 		holders:         newHolders(),
 		flows:           map[segment.Key]*flow{},
@@ -268,7 +280,8 @@
 	}
 	b.holders.addTargets(now, b.table)
 	b.table = t
-	b.goals = longestGoals(t)
+	b.goals, b.mostUrgent = longestGoals(t), mostUrgentPriorities(t)
+	b.requeueWaiting(now)
 	return true
 }
 
@@ -331,6 +344,9 @@
 	case relay.KindAccepted:
 		b.applyLoad(now, from, m.Load)
 		b.handleAccepted(now, from, m.Key)
+		if sc := b.sidecars[from]; sc != nil {
+			b.offerRoom(now, sc)
+		}
 	case relay.KindRefused:
 		b.applyLoad(now, from, m.Load)
 		b.handleRefused(now, from, m)
@@ -422,10 +438,7 @@
 // NextDeadline returns the time at which Tick must next be called for pending flows, or
 // 0 if no flow waits for a sidecar, for the link, for a response or for its owner.
 func (b *Balancer) NextDeadline() clock.Millis {
-	var next clock.Millis
-	if len(b.waiting) > 0 || b.link.Waiting() {
-		next = b.nextPoll
-	}
+	next := b.nextLook
 	if len(b.attempts) > 0 && (next == 0 || b.attempts[0].deadline < next) {
 		next = b.attempts[0].deadline
 	}
@@ -466,5 +479,10 @@
 		}
 	}
 	b.expireSidecars(now)
+	for service, q := range b.queues {
+		if !q.listed && b.services[service] == nil {
+			delete(b.queues, service)
+		}
+	}
 	b.holders.expire(now)
 }
--- a/internal/flow/balancer/bulkflow.go
+++ b/internal/flow/balancer/bulkflow.go
@@ -19,7 +19,7 @@
 	case bulk.Wait:
 		p.waitingForLink = true
 		b.record(Event{Outcome: OutcomeWaitingForLink, Key: p.key, Version: b.table.Version()})
-		b.schedulePoll(now)
+		b.scheduleLook(now + waitPollInterval)
 	case bulk.Refuse:
 		b.refusePending(p, Event{Outcome: OutcomeLinkFull})
 	}
--- a/internal/flow/balancer/pendingflow.go
+++ b/internal/flow/balancer/pendingflow.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"cmp"
 	"container/heap"
 	"net/netip"
 	"slices"
@@ -26,14 +25,16 @@
 	service identity.ServiceID
 	packet  []byte
 	// retransmissions is the highest retransmission count seen in the client's requests.
-	// 0 means that only the first transmission was seen.
-	retransmissions uint32
+	// 0 means that only the first transmission was seen. seen has a bit for each
+	// transmission seen.
+	retransmissions, seen uint32
 	// firstSent is when the client first sent its request, as far as is known.
 	firstSent clock.Millis
 	// latencyGoal is the latency goal of the flow's route; 0 means none. openTimeout is how
 	// long the client waits for the flow to open.
 	latencyGoal, openTimeout clock.Millis
-	// repeatable comes from the flow's route.
+	// priority and repeatable come from the flow's route.
+	priority   int
 	repeatable bool
 	// attempted holds the sidecars that have got the request, without those that were
 	// too busy for it.
@@ -44,9 +45,11 @@
 	// attemptedAt is the time of the last placement attempt. deadline is when that
 	// attempt times out; it is 0 while the flow waits.
 	attemptedAt, deadline clock.Millis
-	// waiting is set while the flow is one of Balancer.waiting. waitRecorded is set when
+	// waiting is set while the flow is in the queue of its service. waitRecorded is set when
 	// OutcomeWaiting is recorded for the flow, so that it is recorded only once.
 	waiting, waitRecorded bool
+	// owed is set if the flow's priority was owed an offer when the flow was last considered.
+	owed bool
 	// waitingForLink is set while a bulk flow waits until the link has room.
 	waitingForLink bool
 }
@@ -109,16 +112,19 @@
 		f.service, f.bulk, f.repeatable = r.Service(s.Key), r.Bulk, r.Repeatable
 		f.pending = &pendingFlow{
 			key: s.Key, service: f.service, packet: bytes.Clone(packet), firstSent: now - requestAge(retransmissions),
-			latencyGoal: r.LatencyGoal, openTimeout: openTimeout(r.Timeout), repeatable: r.Repeatable,
+			latencyGoal: r.LatencyGoal, openTimeout: openTimeout(r.Timeout),
+			priority: r.Priority, repeatable: r.Repeatable,
 		}
+		b.queueOf(f.service).queue.Arrived(now)
 	}
 	f.pending.retransmissions = max(f.pending.retransmissions, retransmissions)
+	f.pending.seen |= 1 << min(retransmissions, uint32(len(retransmitTimes)))
 	switch {
 	case f.pending.waiting || f.pending.waitingForLink:
 	case f.bulk && len(f.pending.attempted) == 0:
 		b.offerToLink(now, f, f.pending)
 	default:
-		b.place(now, f, f.pending, 0)
+		b.admit(now, f, f.pending, 0)
 	}
 }
 
@@ -131,6 +137,11 @@
 		return
 	}
 	sc, full := b.selectSidecar(now, p)
+	b.placeOn(now, f, p, sc, full, reason)
+}
+
+// placeOn sends the request of a pending flow to the selected sidecar, if there is one.
+func (b *Balancer) placeOn(now clock.Millis, f *flow, p *pendingFlow, sc *sidecar, full bool, reason relay.Reason) {
 	if len(p.attempted) < maxAttempts {
 		if sc != nil {
 			outcome := OutcomePlaced
@@ -142,6 +153,7 @@
 			p.attemptedAt, p.deadline = now, now+b.responseTimes.timeout()
 			heap.Push(&b.attempts, attempt{flow: p, deadline: p.deadline})
 			sc.backlog.Place(now)
+			b.queueOf(p.service).queue.Offered(now, p.pastGoal(now))
 			f.owner = sc.address
 			b.sendTo(sc.address, relay.Message{
 				Kind: relay.KindForward, Service: p.service, LatencyGoal: p.latencyGoal, PastGoal: p.pastGoal(now), Packet: p.packet,
@@ -207,7 +219,7 @@
 	return retransmitTimes[min(int(retransmissions), len(retransmitTimes)-1)]
 }
 
-// waitForSidecar lets a pending flow wait until a sidecar can take it. retryWaiting ends
+// waitForSidecar lets a pending flow wait until a sidecar can take it. sweepWaiting ends
 // the wait if it becomes too long.
 func (b *Balancer) waitForSidecar(now clock.Millis, p *pendingFlow) {
 	if !p.waitRecorded {
@@ -217,41 +229,6 @@
 	b.enqueue(now, p)
 }
 
-// enqueue adds a pending flow to the waiting flows.
-func (b *Balancer) enqueue(now clock.Millis, p *pendingFlow) {
-	b.schedulePoll(now)
-	p.waiting, p.deadline = true, 0
-	b.waiting = append(b.waiting, p)
-}
-
-// schedulePoll schedules the next attempt to place waiting flows if none is scheduled.
-func (b *Balancer) schedulePoll(now clock.Millis) {
-	if b.nextPoll <= now {
-		b.nextPoll = now + waitPollInterval
-	}
-}
-
-// retryWaiting tries to place the waiting flows, and drops those whose clients have
-// stopped waiting. The newest flow goes first, because the others have missed their
-// latency goals or are closer to missing them.
-func (b *Balancer) retryWaiting(now clock.Millis) {
-	waiting := b.waiting
-	b.waiting = nil
-	slices.SortStableFunc(waiting, func(x, y *pendingFlow) int { return cmp.Compare(y.firstSent, x.firstSent) })
-	for _, p := range waiting {
-		f := b.flows[p.key]
-		p.waiting = false
-		switch {
-		case f == nil || f.pending != p || f.accepted:
-		case p.expired(now):
-			delete(b.flows, p.key)
-			b.record(Event{Outcome: OutcomeExpired, Key: p.key, Version: b.table.Version()})
-		default:
-			b.place(now, f, p, 0)
-		}
-	}
-}
-
 // refuse records the refusal of a new flow that no upstream can have accepted from this
 // balancer, and sends the client a reset. It sends none after a retransmission, because
 // another balancer may have placed the flow, and none before there is a configuration.
@@ -277,6 +254,9 @@
 		// belongs to, and so how long it took.
 		b.responseTimes.observe(now - p.attemptedAt)
 	}
+	if p := f.pending; p != nil {
+		b.queueOf(p.service).queue.Accepted(now, p.pastGoal(now))
+	}
 	f.pending = nil
 	b.record(Event{Outcome: OutcomeAccepted, Key: key, Sidecar: from})
 }
@@ -294,19 +274,16 @@
 	if sc := b.sidecars[from]; sc != nil && m.Reason == relay.ReasonBusy {
 		// The sidecar may be attempted again later.
 		sc.markBusy(now, p.pastGoal(now))
+		b.queueOf(p.service).queue.Refused(now, p.pastGoal(now))
 		p.attempted = slices.DeleteFunc(p.attempted, func(a netip.AddrPort) bool { return a == from })
 	}
-	b.place(now, f, p, m.Reason)
+	b.admit(now, f, p, m.Reason)
 }
 
 // retryPending tries to place the waiting flows, and places each flow whose response
 // is overdue on another sidecar.
 func (b *Balancer) retryPending(now clock.Millis) {
-	if now >= b.nextPoll {
-		b.startBulkFlows(now)
-		b.retryWaiting(now)
-		b.schedulePoll(now)
-	}
+	b.retryWaiting(now)
 	for len(b.attempts) > 0 {
 		a := b.attempts[0]
 		p := a.flow
--- a/internal/flow/balancer/selection.go
+++ b/internal/flow/balancer/selection.go
@@ -24,8 +24,10 @@
 // sidecars, of which one is in this data centre, if any is, or a sidecar that is due for a
 // trial. Later attempts take the cheapest. Sidecars of weight 0 are candidates only if
 // there is no other usable one. If there is no sidecar to select, best is nil, and full
-// reports whether a usable sidecar that was not attempted yet is full.
+// reports whether a usable sidecar that was not attempted yet is full; roomAt is then when
+// one is expected to have room.
 func (b *Balancer) selectSidecar(now clock.Millis, p *pendingFlow) (best *sidecar, full bool) {
+	b.roomAt = now + waitPollInterval
 	best, full = b.selectWeighted(now, p, false)
 	if best == nil && !full {
 		best, full = b.selectWeighted(now, p, true)
@@ -42,7 +44,8 @@
 	if len(members) > windowSize {
 		start = b.config.Random(len(members))
 	}
-	pastGoal := p.pastGoal(now)
+	waiting, pastGoal := p.admissionFlow(), p.pastGoal(now)
+	urgent := p.owed || p.priority <= b.mostUrgent[p.service]
 	for seen := 0; seen < len(members); {
 		b.choice.Reset()
 		for end := min(seen+windowSize, len(members)); seen < end; seen++ {
@@ -57,10 +60,14 @@
 				if b.takesTrial(now, p, sc) {
 					return sc, false
 				}
-			case sc.full(now, pastGoal):
-				full = true
 			default:
-				b.choice.Add(sc, sc.report.DataCentre == b.config.DataCentre)
+				limit := waiting.Limit(now, urgent, sc.report.Slots, sc.backlog.StatedTime())
+				if at := sc.roomAt(now, limit, pastGoal); at > now {
+					full = true
+					b.roomAt = min(b.roomAt, at)
+				} else {
+					b.choice.Add(sc, sc.report.DataCentre == b.config.DataCentre)
+				}
 			}
 		}
 		if b.choice.Len() > 0 {
--- a/internal/flow/balancer/sidecar.go
+++ b/internal/flow/balancer/sidecar.go
@@ -41,9 +41,9 @@
 	// unresponsiveCost is added for a sidecar that did not respond, so that it is
 	// selected last.
 	unresponsiveCost = 100
-	// maxRequestsPerSlot is how many requests for each slot an upstream may have before
-	// new flows go elsewhere. Upstreams return requests that find a longer queue.
-	maxRequestsPerSlot = 4
+	// roomMargin is how far the estimated requests must be below the limit of a flow. With
+	// half a request, a slot is at least as likely idle as not when it is offered a flow.
+	roomMargin = 0.5
 	// busyBackoff is how long no new flow is placed on a sidecar that refused one as busy.
 	// If the refused flow was past its latency goal, this applies only to flows past their
 	// goals. busyBackoff is about the time in which a slot of the sidecar becomes free.
@@ -109,13 +109,15 @@
 	return !sc.report.Stopping && !sc.report.Legacy && now-sc.lastSeen > max(suspectTimeout, sc.liveTimeout()/2)
 }
 
-// full reports whether a new flow would wait too long for a slot. pastGoal is set if the
+// roomAt returns when a flow may be offered to the sidecar, now or later. limit is the
+// number of requests below which its upstream has room for the flow. pastGoal is set if the
 // flow has passed its latency goal.
-func (sc *sidecar) full(now clock.Millis, pastGoal bool) bool {
-	if now < sc.busyUntil || (pastGoal && now < sc.pastGoalBusyUntil) {
-		return true
+func (sc *sidecar) roomAt(now clock.Millis, limit float64, pastGoal bool) clock.Millis {
+	at := sc.backlog.BelowAt(now, limit-roomMargin)
+	if pastGoal {
+		at = max(at, sc.pastGoalBusyUntil)
 	}
-	return !sc.backlog.Below(now, float64(maxRequestsPerSlot*max(sc.report.Slots, 1)-1))
+	return max(at, sc.busyUntil)
 }
 
 // markBusy records that the sidecar was too busy for a flow. One that is too busy for a
@@ -177,9 +179,10 @@
 	}
 	b.holders.addReport(now, r)
 	b.setUnlisted(sc, !r.AllListed)
-	if r.Accepting {
-		b.retryWaiting(now)
+	if q := b.queues[r.Service]; q != nil && q.queue.Len() > 0 && float64(r.Load.Active) < float64(max(r.Slots, 1)) {
+		q.queue.Reported(now)
 	}
+	b.offerRoom(now, sc)
 }
 
 // TakeHostsOfChangedServices returns the hosts of the sidecars of those services that
--- a/internal/flow/placement/backlog.go
+++ b/internal/flow/placement/backlog.go
@@ -16,6 +16,9 @@
 // reports state none.
 const goalShare = 0.5
 
+// maxAhead is how far BelowAt looks ahead.
+const maxAhead = clock.Second
+
 // Backlog estimates the requests at one upstream: those of the last load that its sidecar
 // has stated, and the flows placed since, less what the slots have processed since.
 type Backlog struct {
@@ -73,9 +76,28 @@
 	return b.aged(b.stated+b.placed, now-b.at)
 }
 
-// Below reports whether the estimated number of requests is at most the given one.
-func (b *Backlog) Below(now clock.Millis, requests float64) bool {
-	return b.stated+b.placed <= requests || b.Requests(now) <= requests
+// BelowAt returns when the estimated number of requests is at most the given one if no
+// flow is placed until then, but at most maxAhead after now.
+func (b *Backlog) BelowAt(now clock.Millis, limit float64) clock.Millis {
+	if b.stated+b.placed <= limit {
+		return now
+	}
+	requests := b.Requests(now)
+	if requests <= limit {
+		return now
+	}
+	if b.workTime <= 0 || limit <= 0 {
+		return now + maxAhead
+	}
+	left := 0.
+	if queue := requests - max(b.slots, limit); queue > 0 {
+		left = queue / b.slots
+		requests -= queue
+	}
+	if requests > limit {
+		left += math.Log(requests / limit)
+	}
+	return now + min(clock.Millis(math.Ceil(left*b.workTime)), maxAhead)
 }
 
 // Completion returns the expected time in milliseconds until the response to one more
@@ -92,6 +114,15 @@
 // waiting.
 func (b *Backlog) ServiceTime() float64 { return b.serviceTime }
 
+// StatedTime returns the expected time in milliseconds of one more request, 0 if the sidecar
+// states none.
+func (b *Backlog) StatedTime() float64 {
+	if !b.learned {
+		return 0
+	}
+	return b.serviceTime
+}
+
 // Learned reports whether the estimate is based on work that the sidecar has stated.
 func (b *Backlog) Learned() bool { return b.learned }
 
