--- a/internal/flow/balancer/load_test.go
+++ b/internal/flow/balancer/load_test.go
@@ -42,12 +42,18 @@
 	downUntil clock.Millis
 	// overload is set if more is asked than the upstreams can do.
 	overload bool
-	// lost is the number of upstreams that fail at loadStart.
-	lost    int
-	demands func() []*demand
+	// lost is the number of upstreams that fail at loadStart, and slowed the number of those
+	// that become slower by 7 times.
+	lost, slowed int
+	// olderSidecars is set if reports state no work. Only the policies that use work are
+	// played then.
+	olderSidecars bool
+	demands       func() []*demand
 }{
 	{name: "a: lookups at 1.15", upstreams: 49, speeds: []float64{1}, overload: true, demands: func() []*demand { return lookupsAndBookings(1.15) }},
 	{name: "a: lookups at 2", upstreams: 49, speeds: []float64{1}, overload: true, demands: func() []*demand { return lookupsAndBookings(2) }},
+	{name: "a: lookups at 1.15, older sidecars", upstreams: 49, speeds: []float64{1}, overload: true, olderSidecars: true, demands: func() []*demand { return lookupsAndBookings(1.15) }},
+	{name: "b: a tenth slows by 7 times", upstreams: 47, speeds: []float64{0.65, 0.9, 1.2, 1.56}, slowed: 5, demands: queriesAndCorrections},
 	{name: "b: unequal servers", upstreams: 47, speeds: []float64{0.65, 0.9, 1.2, 1.56}, demands: queriesAndCorrections},
 	{name: "c: return of all hosts", upstreams: 49, speeds: []float64{1}, downUntil: loadStart, overload: true, demands: func() []*demand { return lookupsAndBookings(0.6) }},
 	{name: "d: a quarter gone", upstreams: 49, speeds: []float64{1}, lost: 12, demands: func() []*demand { return lookupsAndBookings(0.6) }},
@@ -108,7 +114,7 @@
 	l := loads[load]
 	m := &loadModel{
 		random: rand.New(rand.NewPCG(uint64(balancers), 1)), flows: map[segment.Key]*attemptedFlow{}, demands: l.demands(),
-		downUntil: l.downUntil, statesWork: true, interval: max(200, 10*clock.Millis(balancers)), end: loadEnd,
+		downUntil: l.downUntil, statesWork: !l.olderSidecars, interval: max(200, 10*clock.Millis(balancers)), end: loadEnd,
 	}
 	for i := range l.upstreams {
 		m.upstreams = append(m.upstreams, &modelUpstream{
@@ -123,6 +129,9 @@
 		for _, u := range m.upstreams[:l.lost] {
 			u.fail()
 		}
+		for _, u := range m.upstreams[:l.slowed] {
+			u.speed /= 7
+		}
 	})
 	m.run(loadEnd + 3*clock.Second)
 	return m
@@ -247,6 +256,9 @@
 func loadTable(load int) string {
 	var table strings.Builder
 	for policy, p := range loadPolicies {
+		if loads[load].olderSidecars && policy < len(loadPolicies)-1 {
+			continue
+		}
 		m := playLoad(load, policy, defaultBalancers)
 		for _, d := range m.demands {
 			r, after := resultOf(d, loadStart, loadStop), resultOf(d, loadStop, loadStop+clock.Second)
--- a/internal/flow/balancer/waiting.go
+++ b/internal/flow/balancer/waiting.go
@@ -144,6 +144,11 @@
 			p.waiting = false
 			continue
 		}
+		if p.expired(now) {
+			q.queue.Take(now, false)
+			b.expire(p)
+			continue
+		}
 		p.owed = owed
 		sc, full := b.selectSidecar(now, p)
 		if sc == nil {
@@ -179,8 +184,7 @@
 		switch {
 		case f == nil || f.pending != p || f.accepted:
 		case waiting.Expired(now):
-			delete(b.flows, p.key)
-			b.record(Event{Outcome: OutcomeExpired, Key: p.key, Version: b.table.Version()})
+			b.expire(p)
 		case !usable && (len(p.attempted) > 0 || now-p.firstSent >= b.currentWaitTimeout()):
 			b.refusePending(p, Event{Outcome: OutcomeNoSidecar})
 		case hopeless && len(p.attempted) == 0 && p.receivedAll(now):
@@ -194,6 +198,13 @@
 	})
 }
 
+// expire removes a waiting flow whose client has stopped waiting.
+func (b *Balancer) expire(p *pendingFlow) {
+	p.waiting = false
+	delete(b.flows, p.key)
+	b.record(Event{Outcome: OutcomeExpired, Key: p.key, Version: b.table.Version()})
+}
+
 // hasUsable reports whether a sidecar of a service may get new flows.
 func (b *Balancer) hasUsable(now clock.Millis, service identity.ServiceID) bool {
 	for _, sc := range b.services[service] {
--- a/internal/flow/placement/backlog_test.go
+++ b/internal/flow/placement/backlog_test.go
@@ -63,3 +63,32 @@
 	b.ApplyReport(500, report(2, 1, relay.Work{Known: true, ServiceTime: 30}), new(placement.Service), 0)
 	c.Assert(b.Requests(500), qt.Equals, 1.)
 }
+
+// Guards against an estimate that stays wrong after a step of the clock or a restart of the
+// sidecar: the next load or report corrects it.
+func TestStatedLoadCorrectsEstimate(t *testing.T) {
+	c := qt.New(t)
+	var b placement.Backlog
+	service, work := new(placement.Service), relay.Work{Known: true, ServiceTime: 30}
+	b.ApplyReport(1000, report(2, 8, work), service, 0)
+	c.Assert(b.Requests(61_000) < 0.01, qt.IsTrue)
+	b.ApplyLoad(61_000, relay.Load{Active: 8})
+	c.Assert(b.Requests(61_000), qt.Equals, 8.)
+	b.Place(50_000)
+	c.Assert(b.Requests(50_000), qt.Equals, 9.)
+	b.ApplyReport(61_010, report(2, 0, relay.Work{}), service, 240)
+	c.Assert(b.Requests(61_010), qt.Equals, 0.)
+}
+
+// Guards against a time of the next room at which the estimate shows none, or that is later
+// than needed.
+func TestBelowAtFollowsEstimate(t *testing.T) {
+	c := qt.New(t)
+	for _, limit := range []float64{7.5, 4, 2, 1.5, 0.5} {
+		var b placement.Backlog
+		b.ApplyReport(0, report(2, 8, relay.Work{Known: true, ServiceTime: 30}), new(placement.Service), 0)
+		at := b.BelowAt(0, limit)
+		c.Check(b.Requests(at) <= limit, qt.IsTrue, qt.Commentf("%v: %v", limit, at))
+		c.Check(b.Requests(at-1) > limit, qt.IsTrue, qt.Commentf("%v: %v", limit, at))
+	}
+}
