admission: Keep the queue with the pending flow and skip unlimited rates

Each new flow looked up the queue of its service four times and aged three rates, although the rate of offers is rarely limited. With 1,300 services, a new flow with its response took 2.6 to 4.5 us, 1.9 to 2.8 us before the queues.

The pending flow keeps its queue, the queue keeps the most urgent priority, and rates are aged only while they limit.

--- a/internal/flow/admission/pace.go
+++ b/internal/flow/admission/pace.go
@@ -39,13 +39,16 @@
 }
 
 func (r *rate) current(now clock.Millis) float64 {
+	if now <= r.at {
+		return r.value
+	}
 	return r.value * math.Exp(-float64(max(now-r.at, 0))/rateWindow)
 }
 
 // pace limits the rate at which waiting flows are offered, by the refusals of sidecars. It
 // keeps the number of useless messages bounded when many balancers see the same room.
 type pace struct {
-	arrivals, acceptances rate
+	acceptances rate
 	// limited is set while the rate is limited to perMilli offers per millisecond.
 	limited      bool
 	perMilli     float64
@@ -54,21 +57,24 @@
 	refusedShare float64
 }
 
-// accepted records that a sidecar has accepted an offer.
-func (p *pace) accepted(now clock.Millis) {
+// accepted records that a sidecar has accepted an offer. arrivals is the rate of new flows.
+func (p *pace) accepted(now clock.Millis, arrivals *rate) {
 	p.refusedShare -= refusalWeight * p.refusedShare
-	p.accrue(now)
 	p.acceptances.add(now)
-	p.perMilli += paceIncrease * p.arrivals.current(now)
-	p.limited = p.limited && p.refusedShare > minRefusedShare
+	if p.limited {
+		p.accrue(now)
+		p.perMilli += paceIncrease * arrivals.current(now)
+		p.limited = p.refusedShare > minRefusedShare
+	}
 }
 
 // refused records that a sidecar was too busy for an offer.
 func (p *pace) refused(now clock.Millis) {
 	p.refusedShare += refusalWeight * (1 - p.refusedShare)
-	p.accrue(now)
-	p.perMilli = max(p.perMilli*(1-paceDecrease), minRate)
-	if !p.limited && p.refusedShare > maxRefusedShare {
+	if p.limited {
+		p.accrue(now)
+		p.perMilli = max(p.perMilli*(1-paceDecrease), minRate)
+	} else if p.refusedShare > maxRefusedShare {
 		p.limited, p.at, p.offers = true, now, 0
 		p.perMilli = max(p.acceptances.current(now), minRate)
 	}
@@ -76,14 +82,19 @@
 
 // allows reports whether a waiting flow may be offered now.
 func (p *pace) allows(now clock.Millis) bool {
+	if !p.limited {
+		return true
+	}
 	p.accrue(now)
-	return !p.limited || p.offers >= 1
+	return p.offers >= 1
 }
 
 // spend counts an offer.
 func (p *pace) spend(now clock.Millis) {
-	p.accrue(now)
-	p.offers = max(p.offers-1, -p.burst())
+	if p.limited {
+		p.accrue(now)
+		p.offers = max(p.offers-1, -p.burst())
+	}
 }
 
 // grant allows one offer because a report shows room.
--- a/internal/flow/admission/queue.go
+++ b/internal/flow/admission/queue.go
@@ -35,8 +35,9 @@
 	// pace limits the offers of flows within their goals, latePace those of flows past them,
 	// which sidecars refuse more often because they need an idle slot.
 	pace, latePace pace
-	// served is the rate at which flows have left the queue for a sidecar.
-	served rate
+	// arrivals is the rate of new flows, and served the one at which waiting flows have been
+	// offered.
+	arrivals, served rate
 }
 
 // class holds the waiting flows of the same priority, goal and time to give up, the oldest
@@ -60,16 +61,15 @@
 func (q *Queue[T]) Len() int { return q.size }
 
 // Arrived counts a new flow of the service, whether it will wait or not.
-func (q *Queue[T]) Arrived(now clock.Millis) {
-	q.pace.arrivals.add(now)
-	q.latePace.arrivals.add(now)
-}
+func (q *Queue[T]) Arrived(now clock.Millis) { q.arrivals.add(now) }
 
 // Offered counts an offer of a waiting flow or another one.
 func (q *Queue[T]) Offered(now clock.Millis, pastGoal bool) { q.paceOf(pastGoal).spend(now) }
 
 // Accepted counts an accepted offer.
-func (q *Queue[T]) Accepted(now clock.Millis, pastGoal bool) { q.paceOf(pastGoal).accepted(now) }
+func (q *Queue[T]) Accepted(now clock.Millis, pastGoal bool) {
+	q.paceOf(pastGoal).accepted(now, &q.arrivals)
+}
 
 // Refused counts an offer that a sidecar has refused as busy.
 func (q *Queue[T]) Refused(now clock.Millis, pastGoal bool) { q.paceOf(pastGoal).refused(now) }
--- a/internal/flow/balancer/balancer.go
+++ b/internal/flow/balancer/balancer.go
@@ -480,7 +480,7 @@
 	}
 	b.expireSidecars(now)
 	for service, q := range b.queues {
-		if !q.listed && b.services[service] == nil {
+		if _, targeted := b.mostUrgent[service]; !targeted && !q.listed {
 			delete(b.queues, service)
 		}
 	}
--- a/internal/flow/balancer/pendingflow.go
+++ b/internal/flow/balancer/pendingflow.go
@@ -23,7 +23,9 @@
 type pendingFlow struct {
 	key     segment.Key
 	service identity.ServiceID
-	packet  []byte
+	// queue is that of service.
+	queue  *serviceQueue
+	packet []byte
 	// retransmissions is the highest retransmission count seen in the client's requests.
 	// 0 means that only the first transmission was seen. seen has a bit for each
 	// transmission seen.
@@ -115,7 +117,8 @@
 			latencyGoal: r.LatencyGoal, openTimeout: openTimeout(r.Timeout),
 			priority: r.Priority, repeatable: r.Repeatable,
 		}
-		b.queueOf(f.service).queue.Arrived(now)
+		f.pending.queue = b.queueOf(f.service)
+		f.pending.queue.queue.Arrived(now)
 	}
 	f.pending.retransmissions = max(f.pending.retransmissions, retransmissions)
 	f.pending.seen |= 1 << min(retransmissions, uint32(len(retransmitTimes)))
@@ -153,7 +156,7 @@
 			p.attemptedAt, p.deadline = now, now+b.responseTimes.timeout()
 			heap.Push(&b.attempts, attempt{flow: p, deadline: p.deadline})
 			sc.backlog.Place(now)
-			b.queueOf(p.service).queue.Offered(now, p.pastGoal(now))
+			p.queue.queue.Offered(now, p.pastGoal(now))
 			f.owner = sc.address
 			b.sendTo(sc.address, relay.Message{
 				Kind: relay.KindForward, Service: p.service, LatencyGoal: p.latencyGoal, PastGoal: p.pastGoal(now), Packet: p.packet,
@@ -182,7 +185,9 @@
 	r, ok := b.table.Lookup(p.key.Service())
 	if ok {
 		f.service = r.Service(p.key)
-		p.service = f.service
+		if p.service != f.service {
+			p.service, p.queue = f.service, b.queueOf(f.service)
+		}
 	}
 	return ok
 }
@@ -255,7 +260,7 @@
 		b.responseTimes.observe(now - p.attemptedAt)
 	}
 	if p := f.pending; p != nil {
-		b.queueOf(p.service).queue.Accepted(now, p.pastGoal(now))
+		p.queue.queue.Accepted(now, p.pastGoal(now))
 	}
 	f.pending = nil
 	b.record(Event{Outcome: OutcomeAccepted, Key: key, Sidecar: from})
@@ -274,7 +279,7 @@
 	if sc := b.sidecars[from]; sc != nil && m.Reason == relay.ReasonBusy {
 		// The sidecar may be attempted again later.
 		sc.markBusy(now, p.pastGoal(now))
-		b.queueOf(p.service).queue.Refused(now, p.pastGoal(now))
+		p.queue.queue.Refused(now, p.pastGoal(now))
 		p.attempted = slices.DeleteFunc(p.attempted, func(a netip.AddrPort) bool { return a == from })
 	}
 	b.admit(now, f, p, m.Reason)
--- a/internal/flow/balancer/selection.go
+++ b/internal/flow/balancer/selection.go
@@ -45,7 +45,7 @@
 		start = b.config.Random(len(members))
 	}
 	waiting, pastGoal := p.admissionFlow(), p.pastGoal(now)
-	urgent := p.owed || p.priority <= b.mostUrgent[p.service]
+	urgent := p.owed || p.priority <= p.queue.mostUrgent
 	for seen := 0; seen < len(members); {
 		b.choice.Reset()
 		for end := min(seen+windowSize, len(members)); seen < end; seen++ {
--- a/internal/flow/balancer/waiting.go
+++ b/internal/flow/balancer/waiting.go
@@ -18,6 +18,8 @@
 type serviceQueue struct {
 	service identity.ServiceID
 	queue   admission.Queue[*pendingFlow]
+	// mostUrgent is the most urgent priority of the routes to the service.
+	mostUrgent int
 	// listed is set while the queue is one of Balancer.waitingQueues.
 	listed bool
 	// nextLook is when waiting flows are offered again, and nextSweep when those are removed
@@ -30,7 +32,7 @@
 func (b *Balancer) queueOf(service identity.ServiceID) *serviceQueue {
 	q := b.queues[service]
 	if q == nil {
-		q = &serviceQueue{service: service}
+		q = &serviceQueue{service: service, mostUrgent: b.mostUrgent[service]}
 		b.queues[service] = q
 	}
 	return q
@@ -44,7 +46,7 @@
 // admit places a pending flow, unless others wait for the same service. Then it joins them.
 // reason is why the last sidecar refused the flow; 0 means that it did not.
 func (b *Balancer) admit(now clock.Millis, f *flow, p *pendingFlow, reason relay.Reason) {
-	q := b.queueOf(p.service)
+	q := p.queue
 	if q.queue.Len() == 0 || p.outstanding > 0 || len(p.attempted) > 0 {
 		b.place(now, f, p, reason)
 		return
@@ -58,7 +60,7 @@
 // enqueue adds a pending flow to the waiting flows.
 func (b *Balancer) enqueue(now clock.Millis, p *pendingFlow) {
 	p.waiting, p.deadline = true, 0
-	q := b.queueOf(p.service)
+	q := p.queue
 	if q.queue.Len() == 0 {
 		q.nextLook, q.nextSweep = min(b.roomAt, now+waitPollInterval), now+waitPollInterval
 	}
@@ -92,7 +94,7 @@
 
 // roomFor returns when a pending flow may be offered to a sidecar.
 func (b *Balancer) roomFor(now clock.Millis, sc *sidecar, p *pendingFlow) clock.Millis {
-	urgent := p.owed || p.priority <= b.mostUrgent[p.service]
+	urgent := p.owed || p.priority <= p.queue.mostUrgent
 	limit := p.admissionFlow().Limit(now, urgent, sc.report.Slots, sc.backlog.StatedTime())
 	return sc.roomAt(now, limit, p.pastGoal(now))
 }
@@ -156,7 +158,7 @@
 			if full {
 				q.nextLook = min(q.nextLook, b.roomAt)
 			}
-			if !p.pastGoal(now) && p.priority <= b.mostUrgent[p.service] {
+			if !p.pastGoal(now) && p.priority <= p.queue.mostUrgent {
 				q.fullUntil = b.roomAt
 			}
 			continue
@@ -231,6 +233,9 @@
 // requeueWaiting moves the waiting flows to the queues of their services by the current
 // configuration, and refuses those that have no route any more.
 func (b *Balancer) requeueWaiting(now clock.Millis) {
+	for service, q := range b.queues {
+		q.mostUrgent = b.mostUrgent[service]
+	}
 	for i := 0; i < len(b.waitingQueues); i++ {
 		q := b.waitingQueues[i]
 		q.queue.Sweep(now, func(p *pendingFlow, _ admission.Flow, _ bool) bool {
