--- a/internal/flow/evacuation/evacuation_test.go
+++ b/internal/flow/evacuation/evacuation_test.go
@@ -76,6 +76,7 @@
 	c := qt.New(t)
 	s := &evacuation.Set{}
 	s.Read(0, revision(1, 12), nil)
+	s.Read(0, revision(1, 5), nil) // A late response.
 	s.Merge(0, []evacuation.Record{put(hope, 1, 8)})
 	c.Assert(s.Evacuated(hope), qt.IsFalse)
 	s.Merge(0, []evacuation.Record{put(hope, 1, 13)})
--- a/internal/standin/metadata/metadata_test.go
+++ b/internal/standin/metadata/metadata_test.go
@@ -1,6 +1,10 @@
 package metadata_test
 
 import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -52,3 +56,39 @@
 	_, ok = s.Renew(2*clock.Second, id)
 	c.Assert(ok, qt.IsFalse)
 }
+
+// Guards against a client that reads only the first page, which a kinder server would not
+// show.
+func TestRangeHasPages(t *testing.T) {
+	c := qt.New(t)
+	const items = 501
+	s := metadata.NewServer()
+	s.Update(func(state *metadata.Store) {
+		for i := range items {
+			state.Put(fmt.Sprintf("key-%03d", i), "")
+		}
+	})
+	server := httptest.NewServer(s.Handler())
+	c.Cleanup(server.Close)
+	var found []metadata.Item
+	for range 2 {
+		response, err := http.Get(server.URL + "/orioledyke/kv-range?prefix=key&after=" + lastKey(found))
+		c.Assert(err, qt.IsNil)
+		var page struct {
+			Items     []metadata.Item `json:"items"`
+			Truncated bool            `json:"truncated"`
+		}
+		c.Assert(json.NewDecoder(response.Body).Decode(&page), qt.IsNil)
+		c.Assert(response.Body.Close(), qt.IsNil)
+		found = append(found, page.Items...)
+		c.Assert(page.Truncated, qt.Equals, len(found) < items)
+	}
+	c.Assert(found, qt.HasLen, items)
+}
+
+func lastKey(items []metadata.Item) string {
+	if len(items) == 0 {
+		return ""
+	}
+	return items[len(items)-1].Key
+}
--- a/internal/standin/metadata/server.go
+++ b/internal/standin/metadata/server.go
@@ -33,6 +33,9 @@
 
 const requestDelay = 300 * time.Millisecond
 
+// pageLength is the maximum number of items in a response to a range.
+const pageLength = 500
+
 // epochHeader states the epoch in every response.
 const epochHeader = "Store-Era"
 
@@ -169,11 +172,13 @@
 func (s *Server) list(r *http.Request) response {
 	query := r.URL.Query()
 	return s.execute(func(state *Store) (int, any) {
+		items := state.List(query.Get("prefix"), query.Get("after"))
+		page := items[:min(len(items), pageLength)]
 		return http.StatusOK, struct {
 			Items         []Item `json:"items"`
 			Truncated     bool   `json:"truncated"`
 			StoreRevision uint64 `json:"storeRevision"`
-		}{state.List(query.Get("prefix"), query.Get("after")), false, state.Revision()}
+		}{page, len(page) < len(items), state.Revision()}
 	})
 }
 
