flow: Prove the absence of a flow by the set that was queried, twice

A balancer compared the number of sidecars that a search had queried with the number that it knew, although the sets differ, and reset the flow after one search. Absent responses now list the queried hosts, which must include every sidecar that may own the flow. A second search that begins at least 100 ms after the first packet must confirm the result. Package absence holds the decision. Services that count only because their sidecars learn need no confirmation, so that searches page through them as fast as before.

The mutant of a search that takes one response for all made responses go to a balancer that had not asked for them; these are ignored now.

--- a/internal/flow/balancer/balancer.go
+++ b/internal/flow/balancer/balancer.go
@@ -9,6 +9,7 @@
 
 	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/internal/common/identity"
+	"github.com/orioledyke/orioledyke/internal/flow/absence"
 	"github.com/orioledyke/orioledyke/internal/flow/bulk"
 	"github.com/orioledyke/orioledyke/internal/flow/relay"
 	"github.com/orioledyke/orioledyke/internal/flow/route"
@@ -208,9 +209,8 @@
 	searchAttempts int
 	// lastSearch is when the last attempt to find the owner began.
 	lastSearch clock.Millis
-	// absences are the services in which these attempts have found that no upstream holds
-	// the flow.
-	absences []absence
+	// absence is what these attempts have found.
+	absence absence.Flow
 	// unresolved is set while the search for the owner is to be repeated.
 	unresolved *unresolvedFlow
 	// acknowledged is the position that the client acknowledged in the last packet for
--- a/internal/flow/balancer/balancer_test.go
+++ b/internal/flow/balancer/balancer_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/common/identity"
 	"github.com/orioledyke/orioledyke/internal/flow/balancer"
 	"github.com/orioledyke/orioledyke/internal/flow/relay"
 	"github.com/orioledyke/orioledyke/internal/flow/route"
@@ -60,6 +61,8 @@
 	// messages holds all messages to sidecars but pings, whose recipients are in pings.
 	messages []relay.Message
 	pings    []netip.AddrPort
+	// searchers holds the sidecar that was last requested to search in each service.
+	searchers map[identity.ServiceID]netip.AddrPort
 	// losses holds for each call of LossChanged whether the sidecar is lost.
 	losses []bool
 }
@@ -69,7 +72,7 @@
 // newHarnessWithLink returns a harness with a link of the given rate. If the rate is not
 // 0, the flows of the route are bulk flows.
 func newHarnessWithLink(t *testing.T, linkRateMbps float64) *harness {
-	h := &harness{c: qt.New(t), now: 10 * clock.Second, allReported: true}
+	h := &harness{c: qt.New(t), now: 10 * clock.Second, allReported: true, searchers: map[identity.ServiceID]netip.AddrPort{}}
 	h.balancer = balancer.New(balancer.Config{
 		DataCentre: "agassiz", LinkRate: linkRateMbps,
 		Decode: func(data []byte) (segment.Segment, error) { return platform.DecodeSegment(data, false) },
@@ -85,6 +88,7 @@
 			h.messages = append(h.messages, m)
 			recipient := to.String()
 			if m.Kind == relay.KindSearch {
+				h.searchers[m.Service] = to
 				recipient = searchRequest
 			}
 			h.forwards = append(h.forwards, recipient)
@@ -218,16 +222,36 @@
 	h.balancer.HandleClient(h.now, packet(ackFlags, 1, 10))
 	h.c.Assert(h.takeForwards(), qt.DeepEquals, []string{searchRequest})
 	h.respond(relay.KindClaimed, sidecars[2])
-	h.reportAbsent(3)
+	h.absentAtFirst(3)
 	h.c.Assert(h.resets, qt.Equals, 0)
 	h.balancer.HandleClient(h.now, packet(ackFlags, 1, 10))
 	h.c.Assert(h.takeForwards(), qt.DeepEquals, []string{sidecars[2].String()})
 }
 
-// reportAbsent reports to the balancer that none of the given number of sidecars holds
+// absentAtFirst responds to the last search in the service of the sidecars that none of the
+// first ones of them holds the flow.
+func (h *harness) absentAtFirst(queried int) {
+	var hosts []netip.Addr
+	for _, sidecar := range sidecars[:queried] {
+		hosts = append(hosts, sidecar.Addr())
+	}
+	h.absentAt(portal, hosts...)
+}
+
+// absentAt responds to the last search in a service that no sidecar on the given hosts holds
 // the flow.
-func (h *harness) reportAbsent(queried uint16) {
-	h.balancer.HandleSidecar(h.now, sidecars[0], relay.Message{Kind: relay.KindAbsent, Key: key, Queried: queried})
+func (h *harness) absentAt(service identity.ServiceID, hosts ...netip.Addr) {
+	h.balancer.HandleSidecar(h.now, h.searchers[service], relay.Message{
+		Kind: relay.KindAbsent, Key: key, Queried: uint16(len(hosts)), QueriedHosts: hosts,
+	})
+}
+
+// confirmAbsent is like two calls of absentAtFirst, the second one after the repetition of
+// the search.
+func (h *harness) confirmAbsent(queried int) {
+	h.absentAtFirst(queried)
+	h.advance(120)
+	h.absentAtFirst(queried)
 }
 
 // Guards against packets that are lost because the balancer remembers an outdated owner.
@@ -244,9 +268,9 @@
 func TestLostFlowIsReset(t *testing.T) {
 	h := newHarness(t)
 	h.reportAll()
-	searchWithoutOwner := func(queried uint16) {
+	searchWithoutOwner := func(queried int) {
 		h.balancer.HandleClient(h.now, packet(ackFlags, 1, 10))
-		h.reportAbsent(queried)
+		h.confirmAbsent(queried)
 	}
 	searchWithoutOwner(2)
 	h.c.Assert(h.resets, qt.Equals, 0)
@@ -254,10 +278,29 @@
 	searchWithoutOwner(3)
 	h.c.Assert(h.resets, qt.Equals, 0)
 	h.allReported = true
-	searchWithoutOwner(3)
+	h.balancer.HandleClient(h.now, packet(ackFlags, 1, 10))
+	h.absentAtFirst(3)
+	h.c.Assert(h.resets, qt.Equals, 0)
+	h.advance(120)
+	h.absentAtFirst(3)
 	h.c.Assert(h.resets, qt.Equals, 1)
 }
 
+// Guards against a reset of a flow whose owner the balancer knows and the searching sidecar
+// does not, because the latter knows another sidecar in its place.
+func TestSearchOfOtherSetProvesNothing(t *testing.T) {
+	h := newHarness(t)
+	h.reportAll()
+	h.balancer.HandleClient(h.now, packet(ackFlags, 1, 10))
+	for range 2 {
+		h.absentAt(portal, sidecars[0].Addr(), sidecars[1].Addr(), netip.MustParseAddr("10.1.0.99"))
+		h.advance(120)
+	}
+	h.c.Assert(h.resets, qt.Equals, 0)
+	h.balancer.HandleSidecar(h.now, h.searchers[portal], relay.Message{Kind: relay.KindAbsent, Key: key, Queried: 3})
+	h.c.Assert(h.resets, qt.Equals, 0)
+}
+
 // Guards against uploads that fill a slow link and delay all other flows. The link of
 // 7.5 megabits per second allows five bulk flows at a time.
 func TestBulkFlowsWaitForTheLink(t *testing.T) {
--- a/internal/flow/balancer/holders_test.go
+++ b/internal/flow/balancer/holders_test.go
@@ -49,8 +49,21 @@
 	return searched
 }
 
+// absent responds that a sidecar, the only one of its service, does not hold the flow.
 func (h *harness) absent(from netip.AddrPort) {
-	h.balancer.HandleSidecar(h.now, from, relay.Message{Kind: relay.KindAbsent, Key: key, Queried: 1})
+	h.balancer.HandleSidecar(h.now, from, relay.Message{
+		Kind: relay.KindAbsent, Key: key, Queried: 1, QueriedHosts: []netip.Addr{from.Addr()},
+	})
+}
+
+// absentTwice is like absent, before and after the repetition of the search.
+func (h *harness) absentTwice(from ...netip.AddrPort) {
+	for range 2 {
+		for _, sidecar := range from {
+			h.absent(sidecar)
+		}
+		h.advance(120)
+	}
 }
 
 // Guards against a reset of a flow at a service that a new configuration has removed from
@@ -61,9 +74,9 @@
 	h.reportHolder(sidecars[1], archive, true)
 	h.setTargets(2, archive)
 	h.c.Assert(h.searchedServices(), qt.DeepEquals, map[identity.ServiceID]bool{portal: true, archive: true})
-	h.absent(sidecars[1])
+	h.absentTwice(sidecars[1])
 	h.c.Assert(h.resets, qt.Equals, 0)
-	h.absent(sidecars[0])
+	h.absentTwice(sidecars[0])
 	h.c.Assert(h.resets, qt.Equals, 1)
 }
 
@@ -74,7 +87,7 @@
 	h.reportHolder(sidecars[0], portal, true)
 	h.reportHolder(sidecars[1], archive, true, serviceAddress)
 	h.c.Assert(h.searchedServices(), qt.DeepEquals, map[identity.ServiceID]bool{portal: true, archive: true})
-	h.absent(sidecars[0])
+	h.absentTwice(sidecars[0])
 	h.c.Assert(h.resets, qt.Equals, 0)
 	h.respond(relay.KindClaimed, sidecars[1])
 	h.messages = nil
@@ -129,6 +142,7 @@
 				h.absent(from(i))
 			}
 		}
+		h.absent(sidecars[0])
 	}
 	h.c.Assert(h.resets, qt.Equals, 1)
 }
@@ -141,13 +155,13 @@
 	h.reportHolder(sidecars[0], portal, true)
 	h.reportHolder(sidecars[1], archive, true)
 	h.searchedServices()
-	h.absent(sidecars[0])
+	h.absentTwice(sidecars[0])
 	h.advance(10 * clock.Second)
 	h.reportHolder(sidecars[0], portal, true)
 	h.reportHolder(sidecars[1], archive, true)
 	h.searchedServices()
-	h.absent(sidecars[1])
+	h.absentTwice(sidecars[1])
 	h.c.Assert(h.resets, qt.Equals, 0)
-	h.absent(sidecars[0])
+	h.absentTwice(sidecars[0])
 	h.c.Assert(h.resets, qt.Equals, 1)
 }
--- a/internal/flow/balancer/search.go
+++ b/internal/flow/balancer/search.go
@@ -1,11 +1,13 @@
 package balancer
 
 import (
+	"iter"
 	"net/netip"
 	"slices"
 
 	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/internal/common/identity"
+	"github.com/orioledyke/orioledyke/internal/flow/absence"
 	"github.com/orioledyke/orioledyke/internal/flow/locator"
 	"github.com/orioledyke/orioledyke/internal/flow/relay"
 	"github.com/orioledyke/orioledyke/internal/flow/route"
@@ -25,15 +27,8 @@
 	absenceTTL = 4 * clock.Second
 )
 
-// absence is a service in which no upstream holds a flow. It is valid as long as no sidecar
-// joins the service, because that one may own the flow.
-type absence struct {
-	service identity.ServiceID
-	joins   int
-}
-
 // endSearch forgets the attempts to find the owner.
-func (f *flow) endSearch() { f.searchAttempts, f.absences, f.unresolved = 0, nil, nil }
+func (f *flow) endSearch() { f.searchAttempts, f.absence, f.unresolved = 0, absence.Flow{}, nil }
 
 // abandonsOwner reports whether the packets of a flow must not be sent to its owner any
 // more, because the owner is lost and the client may repeat its request elsewhere. Other
@@ -79,6 +74,7 @@
 	slices.Sort(services)
 	for _, service := range slices.Compact(services) {
 		if to, ok := b.searchTarget(now, s.Key, service, f.searchAttempts-1); ok {
+			f.absence.Searched(now, service, to)
 			b.forward(to, relay.KindSearch, service, packet)
 			b.record(Event{
 				Outcome: OutcomeSearched, Key: s.Key, Sidecar: to, Version: b.table.Version(), Attempt: f.searchAttempts,
@@ -117,25 +113,24 @@
 	return live[b.config.Random(len(live))], true
 }
 
-// handleAbsent handles a search that found no owner. If the searches in all services that
-// may hold the flow covered all possible owners, no upstream can serve it. The flow is then
-// reset, so that a client with a request in progress need not wait for its deadline. A
-// flow is left alone if a sidecar that was not queried or has not reported yet may be the
-// owner, or if the client does not wait for a response.
+// handleAbsent handles a search that found no owner. If searches in all services that may
+// hold the flow prove that no upstream can serve it, the flow is reset, so that a client
+// with a request in progress need not wait for its deadline. A flow is left alone if the
+// client does not wait for a response.
 func (b *Balancer) handleAbsent(now clock.Millis, from netip.AddrPort, m relay.Message) {
 	f, sc := b.flows[m.Key], b.sidecars[from]
 	if f == nil || sc == nil || f.owner.IsValid() || !f.awaitsResponse {
 		return
 	}
-	if int(m.Queried) < b.possibleOwners(now, f, sc.report.Service) || !b.config.AllReported() {
+	service := sc.report.Service
+	if !absence.Covers(m.QueriedHosts, b.possibleOwners(now, f, service)) || !b.config.AllReported() {
+		f.absence.Unproved(service, from)
 		b.record(Event{Outcome: OutcomeUnresolved, Key: m.Key, Sidecar: from, Attempt: int(m.Queried)})
 		return
 	}
-	if found := b.absenceFrom(sc.report.Service); !slices.Contains(f.absences, found) {
-		f.absences = append(f.absences, found)
-	}
+	f.absence.Absent(service, from, b.joins[service])
 	r, ok := b.table.Lookup(m.Key.Service())
-	if !ok || b.mayBeHeld(now, f, r) {
+	if !ok || !absence.Lost(b.absenceEvidence(now, f, r)) {
 		return
 	}
 	delete(b.flows, m.Key)
@@ -143,17 +138,25 @@
 	b.config.ToClient(m.Key.Client().Addr(), b.config.Reset(m.Key, f.acknowledged))
 }
 
-// absenceFrom returns the absence of a flow from a service as of now.
-func (b *Balancer) absenceFrom(service identity.ServiceID) absence {
-	return absence{service: service, joins: b.joins[service]}
+// absenceEvidence returns what is known about each service that may hold a flow.
+func (b *Balancer) absenceEvidence(now clock.Millis, f *flow, r route.Route) iter.Seq[absence.Service] {
+	return func(yield func(absence.Service) bool) {
+		known := b.holders.known(now, r)
+		for _, service := range known {
+			if !yield(b.serviceEvidence(now, f, service, false)) {
+				return
+			}
+		}
+		for _, service := range b.holders.unlistedServices {
+			if !slices.Contains(known, service) && !yield(b.serviceEvidence(now, f, service, true)) {
+				return
+			}
+		}
+	}
 }
 
-// mayBeHeld reports whether a service in which the flow was not found to be absent may
-// hold it. A service without sidecars, or with lost ones only, has no upstream that can
-// serve the flow.
-func (b *Balancer) mayBeHeld(now clock.Millis, f *flow, r route.Route) bool {
-	possible := func(service identity.ServiceID) bool {
-		return b.possibleOwners(now, f, service) > 0 && !slices.Contains(f.absences, b.absenceFrom(service))
-	}
-	return slices.ContainsFunc(b.holders.known(now, r), possible) || slices.ContainsFunc(b.holders.unlistedServices, possible)
+func (b *Balancer) serviceEvidence(now clock.Millis, f *flow, service identity.ServiceID, learning bool) absence.Service {
+	e := absence.Service{Complete: true, Ownerless: len(b.possibleOwners(now, f, service)) == 0, Learning: learning}
+	e.Absent, e.Confirmed = f.absence.Found(service, b.joins[service])
+	return e
 }
--- a/internal/flow/balancer/sidecar.go
+++ b/internal/flow/balancer/sidecar.go
@@ -244,16 +244,17 @@
 	}
 }
 
-// possibleOwners returns the number of sidecars of a service that may own a flow and serve
-// it. A lost sidecar may, for some time, if the requests of the flow must not be repeated.
-func (b *Balancer) possibleOwners(now clock.Millis, f *flow, service identity.ServiceID) int {
-	count := 0
+// possibleOwners returns the hosts of the sidecars of a service that may own a flow and
+// serve it. A lost sidecar may, for some time, if the requests of the flow must not be
+// repeated.
+func (b *Balancer) possibleOwners(now clock.Millis, f *flow, service identity.ServiceID) []netip.Addr {
+	var hosts []netip.Addr
 	for _, sc := range b.services[service] {
 		if !sc.lost || (!f.repeatable && now-sc.lastSeen < returnTimeout) {
-			count++
+			hosts = append(hosts, sc.address.Addr())
 		}
 	}
-	return count
+	return hosts
 }
 
 // setUnlisted records whether a sidecar may hold flows to addresses that it does not list.
--- a/internal/flow/balancer/unresolved_test.go
+++ b/internal/flow/balancer/unresolved_test.go
@@ -28,10 +28,6 @@
 	}
 }
 
-func (h *harness) absentFrom(i, queried int) {
-	h.balancer.HandleSidecar(h.now, sidecars[i], relay.Message{Kind: relay.KindAbsent, Key: key, Queried: uint16(queried)})
-}
-
 // Guards against clients that wait for their deadlines because a host failed for good and
 // no search can ever cover its sidecar. A request that must not be repeated gets more time,
 // because its response may still come.
@@ -43,7 +39,7 @@
 			h.reportState(i, false)
 		}
 		h.balancer.HandleClient(h.now, packet(ackFlags, 8, 100))
-		h.absentFrom(0, 2)
+		h.confirmAbsent(2)
 		h.c.Assert(h.resets, qt.Equals, 0)
 		h.balancer.TakeHostsOfChangedServices()
 
@@ -54,12 +50,12 @@
 		h.c.Assert(known, qt.IsTrue)
 		h.c.Assert(hosts, qt.HasLen, 2)
 		h.balancer.HandleClient(h.now, packet(ackFlags, 8, 100))
-		h.absentFrom(0, 2)
+		h.confirmAbsent(2)
 		h.c.Assert(h.resets == 1, qt.Equals, repeatable)
 		if !repeatable {
 			h.reportWithout(2, 4*clock.Second)
 			h.balancer.HandleClient(h.now, packet(ackFlags, 8, 100))
-			h.absentFrom(0, 2)
+			h.confirmAbsent(2)
 			h.c.Assert(h.resets, qt.Equals, 1)
 		}
 
@@ -94,7 +90,7 @@
 	hosts, _ := h.balancer.ServiceHosts(sidecars[0])
 	h.c.Assert(hosts, qt.HasLen, 2)
 	h.balancer.HandleClient(h.now, packet(ackFlags, 8, 100))
-	h.absentFrom(0, 2)
+	h.confirmAbsent(2)
 	h.c.Assert(h.resets, qt.Equals, 1)
 	report(2)
 	h.c.Assert(h.losses, qt.DeepEquals, []bool{true, false})
@@ -144,7 +140,7 @@
 	}
 	h.reportWithout(2, 5*clock.Second)
 	h.balancer.HandleClient(h.now, packet(ackFlags, 8, 100))
-	h.absentFrom(0, 2)
+	h.confirmAbsent(2)
 	h.c.Assert(h.resets, qt.Equals, 0)
 }
 
@@ -157,13 +153,16 @@
 		h.reportState(i, false)
 	}
 	h.balancer.HandleClient(h.now, packet(ackFlags, 8, 100))
-	h.absentFrom(0, 3)
+	h.absentAtFirst(3)
 	h.c.Assert(h.resets, qt.Equals, 0)
 	h.takeForwards()
 	h.allReported = true
-	h.advance(150)
-	h.c.Assert(h.takeForwards(), qt.DeepEquals, []string{searchRequest})
-	h.absentFrom(0, 3)
+	for range 2 {
+		h.c.Assert(h.resets, qt.Equals, 0)
+		h.advance(250)
+		h.c.Assert(h.takeForwards(), qt.DeepEquals, []string{searchRequest})
+		h.absentAtFirst(3)
+	}
 	h.c.Assert(h.resets, qt.Equals, 1)
 	h.advance(clock.Second)
 	h.c.Assert(h.takeForwards(), qt.HasLen, 0)
@@ -211,10 +210,13 @@
 		reportOther()
 	}
 	h.balancer.HandleClient(h.now, packet(ackFlags, 8, 100))
-	h.absentFrom(0, 2)
+	h.confirmAbsent(2)
 	h.reportState(2, false)
-	h.absent(other)
-	h.c.Assert(h.resets, qt.Equals, 0)
-	h.absentFrom(0, 3)
+	for range 2 {
+		h.absent(other)
+		h.c.Assert(h.resets, qt.Equals, 0)
+		h.balancer.HandleClient(h.now, packet(ackFlags, 8, 100))
+	}
+	h.confirmAbsent(3)
 	h.c.Assert(h.resets, qt.Equals, 1)
 }
--- a/internal/flow/relay/digest.go
+++ b/internal/flow/relay/digest.go
@@ -51,10 +51,7 @@
 		return b, errInvalidMessage
 	}
 	for _, list := range d.lists() {
-		for _, host := range *list {
-			octets := host.As4()
-			b = append(b, octets[:]...)
-		}
+		b = appendHosts(b, *list)
 	}
 	return b, nil
 }
@@ -74,10 +71,8 @@
 		if len(rest) < length*hostSize {
 			return Digest{}, errInvalidMessage
 		}
-		for range length {
-			*list = append(*list, netip.AddrFrom4([hostSize]byte(rest)))
-			rest = rest[hostSize:]
-		}
+		*list = decodeHosts(rest[:length*hostSize])
+		rest = rest[length*hostSize:]
 	}
 	if len(rest) > 0 {
 		return Digest{}, errInvalidMessage
--- a/internal/flow/relay/message.go
+++ b/internal/flow/relay/message.go
@@ -149,9 +149,11 @@
 	Reason   Reason
 	Key      segment.Key
 	Load     Load
-	// Queried is the number of sidecars that a search has queried. It is set only in the
-	// KindAbsent message to a balancer.
-	Queried uint16
+	// Queried is the number of sidecars that a search has queried, and QueriedHosts are their
+	// hosts, at most MaxQueriedHosts. Both are set only in the KindAbsent message to a balancer.
+	// Older versions send no hosts.
+	Queried      uint16
+	QueriedHosts []netip.Addr
 	// Keys are the flows of a hint, at most MaxHintKeys.
 	Keys []segment.Key
 	// Sidecars are those that have not responded to a search, at most MaxUnanswered.
@@ -176,7 +178,8 @@
 	// goal is encoded as this one.
 	maxLatencyGoal = pastGoalBit - 1
 	// responseSize is the size of the messages without packet that concern one flow. They
-	// consist of the kind, reason, load, number of queried sidecars, and key.
+	// consist of the kind, reason, load, number of queried sidecars, and key. In KindAbsent, the
+	// hosts of the queried sidecars follow.
 	responseSize = 2 + 4 + 2 + segment.KeySize
 	// epochMessageSize is the size of an announcement, the kind and the epoch.
 	epochMessageSize = 1 + 8
@@ -184,6 +187,8 @@
 	MaxHintKeys = 80
 	// MaxUnanswered is the maximum number of sidecars in a KindUnanswered message.
 	MaxUnanswered = 16
+	// MaxQueriedHosts is the maximum number of hosts in a KindAbsent message.
+	MaxQueriedHosts = (MaxMessage - responseSize) / hostSize
 )
 
 var errInvalidMessage = errors.New("relay: datagram is not a message of this protocol")
@@ -220,7 +225,7 @@
 		b = binary.BigEndian.AppendUint16(b, m.Load.Active)
 		b = binary.BigEndian.AppendUint16(b, m.Load.Flows)
 		b = binary.BigEndian.AppendUint16(b, m.Queried)
-		return m.Key.Append(b), nil
+		return m.appendQueriedHosts(m.Key.Append(b))
 	case KindReport:
 		return m.Report.append(b), nil
 	case KindDigest:
@@ -230,6 +235,34 @@
 	}
 }
 
+// appendQueriedHosts appends the hosts that only KindAbsent carries.
+func (m *Message) appendQueriedHosts(b []byte) ([]byte, error) {
+	if m.Kind != KindAbsent {
+		return b, nil
+	}
+	if len(m.QueriedHosts) > MaxQueriedHosts {
+		return b, errInvalidMessage
+	}
+	return appendHosts(b, m.QueriedHosts), nil
+}
+
+func appendHosts(b []byte, hosts []netip.Addr) []byte {
+	for _, host := range hosts {
+		octets := host.As4()
+		b = append(b, octets[:]...)
+	}
+	return b
+}
+
+// decodeHosts parses hosts of hostSize bytes each.
+func decodeHosts(data []byte) []netip.Addr {
+	var hosts []netip.Addr
+	for ; len(data) >= hostSize; data = data[hostSize:] {
+		hosts = append(hosts, netip.AddrFrom4([hostSize]byte(data)))
+	}
+	return hosts
+}
+
 // encodeGoal returns LatencyGoal and PastGoal as one encoded field.
 func (m *Message) encodeGoal() uint16 {
 	field := uint16(min(max(m.LatencyGoal, 0), maxLatencyGoal))
@@ -313,7 +346,8 @@
 		}
 		return m, nil
 	case KindAccepted, KindRefused, KindClaimed, KindAbsent:
-		if len(data) != responseSize {
+		hosts := data[min(len(data), responseSize):]
+		if len(data) < responseSize || (m.Kind != KindAbsent && len(hosts) > 0) || len(hosts)%hostSize != 0 {
 			return Message{}, errInvalidMessage
 		}
 		m.Reason = Reason(data[1])
@@ -321,6 +355,7 @@
 		m.Load.Flows = binary.BigEndian.Uint16(data[4:])
 		m.Queried = binary.BigEndian.Uint16(data[6:])
 		m.Key, _ = segment.DecodeKey(data[8:])
+		m.QueriedHosts = decodeHosts(hosts)
 		return m, nil
 	case KindReport:
 		var err error
--- a/internal/flow/relay/message_test.go
+++ b/internal/flow/relay/message_test.go
@@ -24,7 +24,8 @@
 		{Kind: relay.KindForward, Service: service, LatencyGoal: 800, PastGoal: true, Packet: []byte{1}},
 		{Kind: relay.KindSearch, Service: service, Packet: []byte{1}},
 		{Kind: relay.KindHint, Keys: []segment.Key{key, key}},
-		{Kind: relay.KindAbsent, Key: key, Queried: 48},
+		{Kind: relay.KindAbsent, Key: key},
+		{Kind: relay.KindAbsent, Key: key, Queried: 2, QueriedHosts: []netip.Addr{netip.MustParseAddr("10.2.0.1"), netip.MustParseAddr("10.2.0.2")}},
 		{Kind: relay.KindPing},
 		{Kind: relay.KindEpoch, Epoch: 7},
 		{Kind: relay.KindUnanswered, Key: key, Sidecars: []netip.AddrPort{netip.MustParseAddrPort("10.2.0.1:7000")}},
@@ -54,6 +55,7 @@
 		c.Assert(decoded.Load, qt.Equals, m.Load)
 		c.Assert(decoded.Sidecars, qt.CmpEquals(cmpopts.EquateComparable(netip.AddrPort{})), m.Sidecars)
 		c.Assert(decoded.Queried, qt.Equals, m.Queried)
+		c.Assert(decoded.QueriedHosts, qt.CmpEquals(cmpopts.EquateComparable(netip.Addr{})), m.QueriedHosts)
 		c.Assert(decoded.LatencyGoal, qt.Equals, m.LatencyGoal)
 		c.Assert(decoded.PastGoal, qt.Equals, m.PastGoal)
 		c.Assert(decoded.Epoch, qt.Equals, m.Epoch)
--- a/internal/flow/sidecar/search.go
+++ b/internal/flow/sidecar/search.go
@@ -54,8 +54,9 @@
 	packet []byte
 	// awaited are the sidecars that have not responded yet.
 	awaited []netip.AddrPort
-	// queried is the number of sidecars that got the query.
-	queried int
+	// queried are the sidecars that got the query, without those that have ceased to be
+	// siblings.
+	queried []netip.AddrPort
 	// hinted is set if only the sidecar of an owner hint was queried.
 	hinted bool
 	// notified is set when the balancer knows which sidecars have not responded.
@@ -86,7 +87,7 @@
 func (s *Sidecar) stopAwaitingRemoved(now clock.Millis, key segment.Key, p *pendingSearch) {
 	for _, awaited := range slices.Clone(p.awaited) {
 		if !p.hinted && awaited != s.config.Self && !slices.Contains(s.search.siblings, awaited) {
-			p.queried--
+			p.queried = slices.DeleteFunc(p.queried, func(a netip.AddrPort) bool { return a == awaited })
 			s.handleAbsent(now, awaited, key)
 		}
 	}
@@ -116,7 +117,7 @@
 	}
 	if h, ok := s.search.hints[p.Key]; ok {
 		s.search.pending[p.Key] = &pendingSearch{
-			requester: from, startedAt: now, packet: bytes.Clone(m.Packet), awaited: []netip.AddrPort{h.owner}, queried: 1, hinted: true,
+			requester: from, startedAt: now, packet: bytes.Clone(m.Packet), awaited: []netip.AddrPort{h.owner}, hinted: true,
 		}
 		s.forwardSearch(h.owner, m)
 		return
@@ -126,10 +127,8 @@
 
 // searchAll queries this sidecar and all siblings.
 func (s *Sidecar) searchAll(now clock.Millis, key segment.Key, m relay.Message) {
-	s.search.pending[key] = &pendingSearch{
-		requester: m.Requester, startedAt: now,
-		awaited: append(slices.Clone(s.search.siblings), s.config.Self), queried: len(s.search.siblings) + 1,
-	}
+	queried := append(slices.Clone(s.search.siblings), s.config.Self)
+	s.search.pending[key] = &pendingSearch{requester: m.Requester, startedAt: now, awaited: slices.Clone(queried), queried: queried}
 	s.record(Event{Outcome: OutcomeSearched, Key: key, Balancer: m.Requester})
 	for _, sibling := range s.search.siblings {
 		s.forwardSearch(sibling, m)
@@ -159,7 +158,11 @@
 		s.searchWithoutHint(now, key, p)
 		return
 	}
-	s.send(p.requester, relay.Message{Kind: relay.KindAbsent, Key: key, Queried: uint16(p.queried), Load: s.Load()})
+	m := relay.Message{Kind: relay.KindAbsent, Key: key, Queried: uint16(len(p.queried)), Load: s.Load()}
+	for _, queried := range p.queried[:min(len(p.queried), relay.MaxQueriedHosts)] {
+		m.QueriedHosts = append(m.QueriedHosts, queried.Addr())
+	}
+	s.send(p.requester, m)
 }
 
 // searchWithoutHint queries all sidecars after the one that a hint named has not claimed
--- a/internal/standin/fleet/balancer.go
+++ b/internal/standin/fleet/balancer.go
@@ -219,11 +219,20 @@
 	if slices.ContainsFunc(r.Targets, func(t route.Target) bool { return t.Service == m.Service }) {
 		return false
 	}
-	absent := relay.Message{Kind: relay.KindAbsent, Key: flowKey(h.from, h.to), Queried: uint16(len(b.cluster.upstreams))}
+	absent := relay.Message{Kind: relay.KindAbsent, Key: flowKey(h.from, h.to), QueriedHosts: b.cluster.sidecarHosts()}
 	b.receive(func() { b.logic.HandleSidecar(b.cluster.now, to, absent) })
 	return true
 }
 
+// sidecarHosts returns the hosts of all sidecars.
+func (c *Cluster) sidecarHosts() []netip.Addr {
+	var hosts []netip.Addr
+	for _, u := range c.upstreams {
+		hosts = append(hosts, u.relayAddress.Addr())
+	}
+	return hosts
+}
+
 // KillBalancer kills a balancer without notice and restarts it after the downtime.
 func (c *Cluster) KillBalancer(index int, down clock.Millis) {
 	b := c.balancers[index]
--- a/internal/standin/fleet/upstream.go
+++ b/internal/standin/fleet/upstream.go
@@ -175,12 +175,11 @@
 	case m.Kind == relay.KindAccepted && u.cluster.config.Mutant == AcceptedAsRefused:
 		m.Kind = relay.KindRefused
 	case m.Kind == relay.KindAbsent && u.cluster.config.Mutant == AbsenceAssumed:
-		m.Queried = uint16(len(u.cluster.upstreams))
-		to = u.cluster.balancers[u.cluster.random.IntN(len(u.cluster.balancers))].relayAddress
+		m.QueriedHosts = u.cluster.sidecarHosts()
 	}
 	for _, sibling := range u.cluster.upstreams {
 		if sibling.relayAddress == to {
-			sibling.receive(func() { sibling.logic.HandleMessage(u.cluster.now, u.relayAddress, m) })
+			sibling.receive(func() { sibling.handleMessage(u.relayAddress, m) })
 		}
 	}
 	for _, b := range u.cluster.balancers {
@@ -190,6 +189,17 @@
 	}
 }
 
+// handleMessage handles a message of another sidecar. With the mutant AbsenceAssumed, the
+// response of one sidecar to a search counts as that of all.
+func (u *upstreamHost) handleMessage(from netip.AddrPort, m relay.Message) {
+	u.logic.HandleMessage(u.cluster.now, from, m)
+	if m.Kind == relay.KindAbsent && u.cluster.config.Mutant == AbsenceAssumed {
+		for _, other := range u.cluster.upstreams {
+			u.logic.HandleMessage(u.cluster.now, other.relayAddress, m)
+		}
+	}
+}
+
 func (u *upstreamHost) sendToBalancer(b *balancerHost, m relay.Message) {
 	b.receive(func() {
 		if m.Kind == relay.KindReport {
