flow: Report a further address at once

A sidecar listed a further address in the next report, up to 200 ms later, and a balancer that is behind by a configuration did not search in the route's new target until then. The report now follows the first flow immediately. An address stays listed for 60 s after its last flow, so that an upstream with few flows does not cause a report with each of them.

TestFurtherAddressIsReportedAtOnce and TestAddressStaysListed fail before.

--- a/internal/flow/node/digest_test.go
+++ b/internal/flow/node/digest_test.go
@@ -18,49 +18,41 @@
 	"go.uber.org/zap/zaptest/observer"
 )
 
-// digestRecorder receives the digests that a balancer sends to any loopback address.
-type digestRecorder struct {
+// datagramRecorder receives the messages that a process sends to any loopback address.
+type datagramRecorder struct {
 	c        *qt.C
-	node     *balancerNode
 	listener *net.UDPConn
 	sender   *net.UDPConn
 }
 
-func newDigestRecorder(t *testing.T) *digestRecorder {
-	c := qt.New(t)
-	r := &digestRecorder{c: c}
+func newDatagramRecorder(t *testing.T) *datagramRecorder {
+	r := &datagramRecorder{c: qt.New(t)}
 	var err error
 	r.listener, err = net.ListenUDP("udp4", &net.UDPAddr{})
-	c.Assert(err, qt.IsNil)
-	c.Cleanup(func() { _ = r.listener.Close() })
+	r.c.Assert(err, qt.IsNil)
+	r.c.Cleanup(func() { _ = r.listener.Close() })
 	r.sender, err = net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	c.Assert(err, qt.IsNil)
-	c.Cleanup(func() { _ = r.sender.Close() })
-	self := netip.AddrPortFrom(netip.MustParseAddr("127.1.0.1"), r.listener.LocalAddr().(*net.UDPAddr).AddrPort().Port())
-	r.node = &balancerNode{
-		base: &base{
-			settings: settings.FlowProcess{RelayAddress: self}, relayConn: r.sender, clock: clock.System(),
-			balancers: peerset.New(self.Addr()),
-		},
-		sidecars: peerset.New(self.Addr()),
-		machine:  balancer.New(balancer.Config{}),
-	}
-	r.node.digests = &digests{node: r.node}
+	r.c.Assert(err, qt.IsNil)
+	r.c.Cleanup(func() { _ = r.sender.Close() })
 	return r
 }
 
-// messages returns the messages of one round. Datagrams over loopback stay in order, so a
-// datagram of a single byte to the listener marks the end of the round.
-func (r *digestRecorder) messages(now clock.Millis) []relay.Message {
-	r.node.digests.sendRound(now)
-	_, err := r.sender.WriteToUDPAddrPort([]byte{0}, r.node.settings.RelayAddress)
+// port returns the port to which the process sends.
+func (r *datagramRecorder) port() uint16 {
+	return r.listener.LocalAddr().(*net.UDPAddr).AddrPort().Port()
+}
+
+// take returns the messages since the last call. Datagrams over loopback stay in order, so a
+// datagram of a single byte to the listener marks their end.
+func (r *datagramRecorder) take() []relay.Message {
+	_, err := r.sender.WriteToUDPAddrPort([]byte{0}, netip.AddrPortFrom(netip.MustParseAddr("127.1.0.1"), r.port()))
 	r.c.Assert(err, qt.IsNil)
 	var messages []relay.Message
 	buffer := make([]byte, relay.MaxMessage)
 	for {
 		n, _, err := r.listener.ReadFromUDPAddrPort(buffer)
 		r.c.Assert(err, qt.IsNil)
-		if n == 1 {
+		if n == 1 && buffer[0] == 0 {
 			return messages
 		}
 		m, err := relay.Decode(buffer[:n])
@@ -69,6 +61,33 @@
 	}
 }
 
+// digestRecorder receives the digests that a balancer sends to any loopback address.
+type digestRecorder struct {
+	*datagramRecorder
+	node *balancerNode
+}
+
+func newDigestRecorder(t *testing.T) *digestRecorder {
+	r := &digestRecorder{datagramRecorder: newDatagramRecorder(t)}
+	self := netip.AddrPortFrom(netip.MustParseAddr("127.1.0.1"), r.port())
+	r.node = &balancerNode{
+		base: &base{
+			settings: settings.FlowProcess{RelayAddress: self}, relayConn: r.sender, clock: clock.System(),
+			balancers: peerset.New(self.Addr()),
+		},
+		sidecars: peerset.New(self.Addr()),
+		machine:  balancer.New(balancer.Config{}),
+	}
+	r.node.digests = &digests{node: r.node}
+	return r
+}
+
+// messages returns the messages of one round.
+func (r *digestRecorder) messages(now clock.Millis) []relay.Message {
+	r.node.digests.sendRound(now)
+	return r.take()
+}
+
 // round returns the digests of one round.
 func (r *digestRecorder) round(now clock.Millis) []relay.Digest {
 	var digests []relay.Digest
--- a/internal/flow/node/sidecar.go
+++ b/internal/flow/node/sidecar.go
@@ -168,6 +168,7 @@
 	switch m.Kind {
 	default:
 		n.machine.HandleMessage(now, from, m)
+		n.reportFurtherAddress(now)
 	case relay.KindPing:
 		n.reportTo([]netip.Addr{from.Addr()})
 	case relay.KindEpoch:
@@ -187,7 +188,17 @@
 func (n *sidecarNode) handleOutbound(_ netip.AddrPort, packet []byte) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	n.machine.HandleUpstream(n.clock.Now(), packet)
+	now := n.clock.Now()
+	n.machine.HandleUpstream(now, packet)
+	n.reportFurtherAddress(now)
+}
+
+// reportFurtherAddress reports to the live balancers immediately if the upstream has got the
+// first flow to an address.
+func (n *sidecarNode) reportFurtherAddress(now clock.Millis) {
+	if n.machine.TakeAddressesChanged() {
+		n.reportTo(n.balancers.Live(now))
+	}
 }
 
 // heartbeat applies a heartbeat of the upstream. When it returns, the state is in
@@ -321,7 +332,7 @@
 	}
 	live := n.balancers.Live(now)
 	n.currentReportInterval = min(max(minReportInterval, reportIntervalPerBalancer*clock.Millis(len(live)), n.requestedInterval), maxReportInterval)
-	if n.machine.TakeAddressesChanged() || now-n.lastReport >= n.currentReportInterval {
+	if now-n.lastReport >= n.currentReportInterval {
 		n.lastReport = now
 		n.reportTo(live)
 	}
--- a/internal/flow/node/sidecar_test.go
+++ b/internal/flow/node/sidecar_test.go
@@ -5,10 +5,15 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/google/go-cmp/cmp/cmpopts"
 	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/common/settings"
 	"github.com/orioledyke/orioledyke/internal/flow/peerset"
 	"github.com/orioledyke/orioledyke/internal/flow/registration"
+	"github.com/orioledyke/orioledyke/internal/flow/relay"
+	"github.com/orioledyke/orioledyke/internal/flow/segment"
 	"github.com/orioledyke/orioledyke/internal/flow/sidecar"
+	"github.com/orioledyke/orioledyke/platform"
 	"go.uber.org/zap"
 )
 
@@ -31,3 +36,50 @@
 		c.Assert(all, qt.Equals, !learns)
 	}
 }
+
+// sidecarRecorder is a sidecar without sockets of its own whose messages to any loopback
+// address are recorded.
+type sidecarRecorder struct {
+	*datagramRecorder
+	node *sidecarNode
+	now  clock.Manual
+}
+
+func newSidecarRecorder(t *testing.T) *sidecarRecorder {
+	r := &sidecarRecorder{datagramRecorder: newDatagramRecorder(t)}
+	self := netip.AddrPortFrom(netip.MustParseAddr("127.2.0.1"), r.port())
+	r.node = &sidecarNode{
+		base: &base{
+			settings: settings.FlowProcess{RelayAddress: self}, relayConn: r.sender, clock: r.now.Clock(), logger: zap.NewNop(),
+			balancers: peerset.New(self.Addr()),
+		},
+		registration: registration.New(registration.Config{}),
+	}
+	r.node.machine = sidecar.New(sidecar.Config{
+		Self: self, Decode: platform.DecodeSegment, ToUpstream: func([]byte) {},
+		ToPeer: func(to netip.AddrPort, data []byte) { r.node.send(r.sender, to, data) },
+	})
+	return r
+}
+
+// Guards against a balancer that is behind by a configuration and resets a flow at a further
+// target of the route, because it learns only up to 200 ms later that the target holds flows.
+func TestFurtherAddressIsReportedAtOnce(t *testing.T) {
+	r := newSidecarRecorder(t)
+	balancer := netip.MustParseAddr("127.1.0.1")
+	r.node.balancers.MarkSeen(r.node.clock.Now(), balancer, 0)
+	r.node.machine.Accept()
+	address := netip.MustParseAddrPort("198.18.0.1:443")
+	opening := platform.EncodeReset(segment.NewKey(address, netip.MustParseAddrPort("100.64.0.7:40001")), 7)
+	const openFlag = 32
+	opening[0] = openFlag
+	m := relay.Message{Kind: relay.KindForward, Packet: opening}
+	data, err := m.Append(nil)
+	r.c.Assert(err, qt.IsNil)
+	for range 2 {
+		r.node.handleRelay(netip.AddrPortFrom(balancer, r.port()), data)
+	}
+	sent := r.take()
+	r.c.Assert(sent, qt.HasLen, 1)
+	r.c.Assert(sent[0].Report.Addresses, qt.CmpEquals(cmpopts.EquateComparable(netip.AddrPort{})), []netip.AddrPort{address})
+}
--- a/internal/flow/sidecar/search_test.go
+++ b/internal/flow/sidecar/search_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/google/go-cmp/cmp/cmpopts"
+	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/internal/flow/relay"
 	"github.com/orioledyke/orioledyke/internal/flow/segment"
 	"github.com/orioledyke/orioledyke/platform"
@@ -94,3 +95,31 @@
 	h.c.Assert(addresses, qt.HasLen, 0)
 	h.c.Assert(all, qt.IsFalse)
 }
+
+// Guards against a report to all balancers with every flow of an upstream that has few.
+func TestAddressStaysListed(t *testing.T) {
+	h := newHarness(t)
+	h.open()
+	h.c.Assert(h.sidecar.TakeAddressesChanged(), qt.IsTrue)
+	advance := func(d clock.Millis) {
+		for end := h.now + d; h.now < end; {
+			h.now += clock.Second
+			h.sidecar.Tick(h.now)
+		}
+	}
+	advance(100 * clock.Second)
+	h.c.Assert(h.sidecar.Load().Flows, qt.Equals, uint16(0))
+	addresses, _ := h.sidecar.Addresses()
+	h.c.Assert(addresses, qt.HasLen, 0)
+	h.open()
+	h.c.Assert(h.sidecar.TakeAddressesChanged(), qt.IsTrue)
+	h.toUpstream = 0
+	h.sidecar.HandleMessage(h.now, balancer, relay.Message{Kind: relay.KindForward, Service: portal, Packet: packet(true, final|acks, 2, 501, 0)})
+	h.sidecar.HandleUpstream(h.now, packet(false, final|acks, 501, 3, 0))
+	advance(20 * clock.Second)
+	h.c.Assert(h.sidecar.Load().Flows, qt.Equals, uint16(0))
+	addresses, _ = h.sidecar.Addresses()
+	h.c.Assert(addresses, qt.HasLen, 1)
+	h.open()
+	h.c.Assert(h.sidecar.TakeAddressesChanged(), qt.IsFalse)
+}
--- a/internal/flow/sidecar/sidecar.go
+++ b/internal/flow/sidecar/sidecar.go
@@ -6,9 +6,7 @@
 package sidecar
 
 import (
-	"maps"
 	"net/netip"
-	"slices"
 
 	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/internal/common/identity"
@@ -156,10 +154,11 @@
 	// because the process started after the upstream or has dropped its flows.
 	learning bool
 	flows    map[segment.Key]*flow
-	// addresses counts the flows to each address.
-	addresses map[netip.AddrPort]int
-	// addressesChanged is set when an address has been added to addresses, or a learned
-	// one may have been, since the last call of TakeAddressesChanged.
+	// addresses holds the flows to each address. An address stays for addressTTL after the
+	// last flow.
+	addresses map[netip.AddrPort]*addressFlows
+	// addressesChanged is set when an address has been added to addresses since the last call
+	// of TakeAddressesChanged.
 	addressesChanged bool
 	activeRequests   int
 	flowCount        int
@@ -189,7 +188,7 @@
 	}
 	return &Sidecar{
 		config: config, refusalReason: relay.ReasonUnregistered, flows: map[segment.Key]*flow{},
-		addresses: map[netip.AddrPort]int{}, search: newSearch(),
+		addresses: map[netip.AddrPort]*addressFlows{}, search: newSearch(),
 	}
 }
 
@@ -214,7 +213,7 @@
 // also sets learning. Until SetLearning clears it, the upstream itself decides which
 // flows it holds.
 func (s *Sidecar) DropFlows() {
-	s.flows, s.addresses = map[segment.Key]*flow{}, map[netip.AddrPort]int{}
+	s.flows, s.addresses = map[segment.Key]*flow{}, map[netip.AddrPort]*addressFlows{}
 	s.activeRequests, s.flowCount = 0, 0
 	s.capacity.reset()
 	s.learning = true
@@ -227,21 +226,6 @@
 	return relay.Load{Active: uint16(min(s.activeRequests+s.capacity.expectedRequests, limit)), Flows: uint16(min(s.flowCount, limit))}
 }
 
-// Addresses returns the addresses of routes to which the upstream holds flows, in order,
-// and whether these are all of them. They are not while the sidecar learns flows.
-func (s *Sidecar) Addresses() (addresses []netip.AddrPort, all bool) {
-	return slices.SortedFunc(maps.Keys(s.addresses), netip.AddrPort.Compare), !s.learning
-}
-
-// TakeAddressesChanged reports whether flows to a further address were added since the
-// last call. Balancers must learn of such an address soon, because a new configuration may
-// remove this service from the targets of the route.
-func (s *Sidecar) TakeAddressesChanged() bool {
-	changed := s.addressesChanged
-	s.addressesChanged = false
-	return changed
-}
-
 // Count returns how often an outcome has occurred.
 func (s *Sidecar) Count(o Outcome) uint64 { return s.counts[o] }
 
@@ -415,9 +399,7 @@
 	f := &flow{state: state, firstSeen: now, lastSeen: now}
 	s.flows[key] = f
 	s.flowCount++
-	address := key.Service()
-	s.addressesChanged = s.addressesChanged || s.addresses[address] == 0
-	s.addresses[address]++
+	s.addAddress(key.Service())
 	return f
 }
 
@@ -426,9 +408,7 @@
 		return
 	}
 	delete(s.flows, key)
-	if s.addresses[key.Service()]--; s.addresses[key.Service()] <= 0 {
-		delete(s.addresses, key.Service())
-	}
+	s.removeAddress(key.Service(), f)
 	s.capacity.stopExpecting(f)
 	s.flowCount--
 	if f.busy {
@@ -446,6 +426,7 @@
 		return
 	}
 	s.lastSweep = now
+	s.expireAddresses(now)
 	s.search.expire(now, func(key segment.Key, p *pendingSearch) {
 		s.record(Event{Outcome: OutcomeUnanswered, Key: key, Balancer: p.requester, Sibling: p.awaited[0], Load: s.Load()})
 	})
--- a/internal/standin/fleet/balancer.go
+++ b/internal/standin/fleet/balancer.go
@@ -205,7 +205,7 @@
 					u.report(b)
 					return
 				}
-				u.logic.HandleMessage(b.cluster.now, b.relayAddress, m)
+				u.handleMessage(b.relayAddress, m)
 			})
 		}
 	}
--- a/internal/standin/fleet/upstream.go
+++ b/internal/standin/fleet/upstream.go
@@ -193,6 +193,7 @@
 // response of one sidecar to a search counts as that of all.
 func (u *upstreamHost) handleMessage(from netip.AddrPort, m relay.Message) {
 	u.logic.HandleMessage(u.cluster.now, from, m)
+	u.reportFurtherAddress()
 	if m.Kind == relay.KindAbsent && u.cluster.config.Mutant == AbsenceAssumed {
 		for _, other := range u.cluster.upstreams {
 			u.logic.HandleMessage(u.cluster.now, other.relayAddress, m)
@@ -209,6 +210,14 @@
 	})
 }
 
+// reportFurtherAddress reports immediately that the upstream has got the first flow to an
+// address.
+func (u *upstreamHost) reportFurtherAddress() {
+	if u.logic.TakeAddressesChanged() {
+		u.report(u.cluster.balancers...)
+	}
+}
+
 // applyMisdelivery returns a packet for a client unchanged. With the mutant
 // ResponsesMisdelivered, it readdresses a response to another open flow, the one with the
 // lowest client address.
@@ -489,6 +498,7 @@
 		u.whenRunning(func() {
 			if u.sidecarUp && u.sidecarIncarnation == incarnation {
 				u.logic.HandleUpstream(u.cluster.now, raw)
+				u.reportFurtherAddress()
 			}
 		})
 	})
