flow: Keep rosters in sidecars and require proof for every service

After a replacement of all balancers, the new ones took the directory for a complete list of the sidecars. It lacked those that had started in the last seconds (stale reads) and those whose entries had lapsed in an outage, and open flows of these were reset. The sidecars forgot their siblings too, because they kept only the lists of live balancers.

A balancer reads the directory once without stale responses at its start. It takes a service for known if an older sidecar of the service has sent its roster, or all listed sidecars of the service have found their own entries in the directory at their start, or 3 s after the first read of the directory; without a known sidecar or a directory, 15 s after the start.

--- /dev/null
+++ b/internal/flow/absence/members.go
@@ -0,0 +1,139 @@
+package absence
+
+import (
+	"net/netip"
+
+	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/common/identity"
+	"github.com/orioledyke/orioledyke/internal/flow/relay"
+)
+
+const (
+	// verifyTime is the time after the directory was read in which a sidecar that hears no
+	// balancer writes its entry again, if it has lapsed, and contacts the listed balancers.
+	verifyTime = 3 * clock.Second
+	// discoveryTime is the time after the start in which every sidecar finds a balancer,
+	// also if the directory cannot be read. Sidecars read the directory every 10 to 13 s.
+	discoveryTime = 15 * clock.Second
+)
+
+// Members decides whether a balancer knows all sidecars of a service. The directory alone
+// does not tell: entries lapse while the store is away. The sidecars that run longer than the
+// balancer know their siblings from earlier balancers. If all processes have started anew, an
+// entry that a sidecar has found at its start shows that the directory has lost nothing.
+// A nil Members knows all sidecars. Members is not safe for concurrent use.
+type Members struct {
+	startedAt clock.Millis
+	// directoryReadAt is when the directory was first read. It is valid if directoryRead is
+	// set. listed are the sidecars that it listed.
+	directoryReadAt clock.Millis
+	directoryRead   bool
+	listed          []netip.Addr
+	hosts           map[netip.Addr]*member
+	services        map[identity.ServiceID]*service
+}
+
+// member is what a sidecar has said about itself.
+type member struct {
+	// service is valid after a report, and entryFound after a roster.
+	service              identity.ServiceID
+	reported, entryFound bool
+	// older is set if the process runs longer than the balancer and has sent its siblings.
+	older bool
+}
+
+// service is what is known about a service as a whole.
+type service struct {
+	// older is set once a sidecar that runs longer than the balancer has sent its siblings.
+	older bool
+}
+
+// NewMembers returns the Members of a balancer that has started at a time.
+func NewMembers(startedAt clock.Millis) *Members {
+	return &Members{startedAt: startedAt, hosts: map[netip.Addr]*member{}, services: map[identity.ServiceID]*service{}}
+}
+
+// DirectoryRead records the sidecars that the directory lists in a response that is not
+// stale. Only the first call counts.
+func (m *Members) DirectoryRead(now clock.Millis, sidecars []netip.Addr) {
+	if m != nil && !m.directoryRead {
+		m.directoryRead, m.directoryReadAt, m.listed = true, now, sidecars
+	}
+}
+
+// Reported records that a sidecar has reported its service.
+func (m *Members) Reported(host netip.Addr, id identity.ServiceID) {
+	if m == nil {
+		return
+	}
+	known := m.host(host)
+	known.service, known.reported = id, true
+	m.join(known)
+}
+
+// Stated records the roster of a sidecar. The caller adds its hosts to those that must
+// report.
+func (m *Members) Stated(now clock.Millis, host netip.Addr, r relay.Roster) {
+	if m == nil {
+		return
+	}
+	known := m.host(host)
+	known.entryFound = r.EntryFound
+	known.older = known.older || (r.Complete && r.Age >= now-m.startedAt)
+	m.join(known)
+}
+
+func (m *Members) host(address netip.Addr) *member {
+	known := m.hosts[address]
+	if known == nil {
+		known = &member{}
+		m.hosts[address] = known
+	}
+	return known
+}
+
+// join adds what a sidecar has said to what is known about its service.
+func (m *Members) join(known *member) {
+	if !known.reported {
+		return
+	}
+	s := m.services[known.service]
+	if s == nil {
+		s = &service{}
+		m.services[known.service] = s
+	}
+	s.older = s.older || known.older
+}
+
+// Complete reports whether all sidecars of a service are known, provided that every host
+// that any source has listed has reported or does not respond.
+func (m *Members) Complete(now clock.Millis, id identity.ServiceID) bool {
+	if m == nil {
+		return true
+	}
+	s := m.services[id]
+	if m.directoryRead && now-m.directoryReadAt < verifyTime {
+		return s != nil && (s.older || m.directoryLists(id))
+	}
+	if m.directoryRead && s != nil {
+		return true
+	}
+	return now-m.startedAt >= discoveryTime
+}
+
+// directoryLists reports whether the directory lists sidecars of a service, and each of them
+// has found its own entry there when it started.
+func (m *Members) directoryLists(id identity.ServiceID) bool {
+	found := false
+	for _, address := range m.listed {
+		known := m.hosts[address]
+		if known == nil || !known.reported || known.service != id {
+			continue
+		}
+		if !known.entryFound {
+			return false
+		}
+		found = true
+	}
+	return found
+}
--- a/internal/flow/balancer/balancer.go
+++ b/internal/flow/balancer/balancer.go
@@ -137,10 +137,12 @@
 	ToClient  func(to netip.Addr, data []byte)
 	// Random returns a random number from 0 to n-1.
 	Random func(n int) int
-	// AllReported reports whether every sidecar that may hold flows has reported.
-	// Until then, a flow that no sidecar claims may still exist. If AllReported is nil, all
-	// sidecars count as having reported.
+	// AllReported reports whether every sidecar that any source has listed has reported or
+	// does not respond. Until then, a flow that no sidecar claims may still exist. If
+	// AllReported is nil, all sidecars count as having reported.
 	AllReported func() bool
+	// Members decides whether all sidecars of a service are known. If it is nil, they are.
+	Members *absence.Members
 	// LossChanged is called when a sidecar begins or ceases to count as lost, with the time
 	// since its last message. It may be nil.
 	LossChanged func(sidecar netip.AddrPort, lost bool, silence clock.Millis)
@@ -293,7 +295,10 @@
 	b.now, b.lastSidecarMessage = now, now
 	switch m.Kind {
 	case relay.KindReport:
+		b.config.Members.Reported(from.Addr(), m.Report.Service)
 		b.applyReport(now, from, m.Report)
+	case relay.KindRoster:
+		b.config.Members.Stated(now, from.Addr(), m.Roster)
 	case relay.KindAccepted:
 		b.applyLoad(now, from, m.Load)
 		b.handleAccepted(now, from, m.Key)
--- a/internal/flow/balancer/search.go
+++ b/internal/flow/balancer/search.go
@@ -156,7 +156,10 @@
 }
 
 func (b *Balancer) serviceEvidence(now clock.Millis, f *flow, service identity.ServiceID, learning bool) absence.Service {
-	e := absence.Service{Complete: true, Ownerless: len(b.possibleOwners(now, f, service)) == 0, Learning: learning}
+	e := absence.Service{
+		Complete:  b.config.Members.Complete(now, service),
+		Ownerless: len(b.possibleOwners(now, f, service)) == 0, Learning: learning,
+	}
 	e.Absent, e.Confirmed = f.absence.Found(service, b.joins[service])
 	return e
 }
--- a/internal/flow/node/balancer.go
+++ b/internal/flow/node/balancer.go
@@ -8,6 +8,7 @@
 
 	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/internal/common/settings"
+	"github.com/orioledyke/orioledyke/internal/flow/absence"
 	"github.com/orioledyke/orioledyke/internal/flow/balancer"
 	"github.com/orioledyke/orioledyke/internal/flow/configuration"
 	"github.com/orioledyke/orioledyke/internal/flow/peerset"
@@ -19,11 +20,11 @@
 )
 
 const (
-	// reportWait is how long a balancer waits for reports after its start before it
-	// assumes that it knows of all sidecars. Once it has read the directory, which lists
-	// them, it only waits reportWaitWithDirectory for the responses of other processes.
-	reportWait                           = clock.Second
-	reportWaitWithDirectory clock.Millis = 300
+	// reportWait is how long after its start a balancer is ready only with a usable sidecar.
+	reportWait = clock.Second
+	// settleTime is how long a balancer waits after its start for the responses of other
+	// processes before it takes any flow for lost.
+	settleTime clock.Millis = 300
 	// If no packet arrives for drainQuietTime, the routers have stopped sending to this
 	// balancer.
 	drainQuietTime    clock.Millis = 1200
@@ -35,6 +36,7 @@
 	*base
 	machine    *balancer.Balancer
 	sidecars   *peerset.Set
+	members    *absence.Members
 	httpClient *http.Client
 	// timer fires at timerAt, the next deadline of the machine; 0 means that it is not set.
 	timer   *time.Timer
@@ -66,7 +68,7 @@
 	defer b.close()
 	n := &balancerNode{
 		base: b, sidecars: peerset.New(s.RelayAddress.Addr()), versions: configuration.NewPeers(), fetchDue: make(chan struct{}, 1),
-		httpClient: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		httpClient: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, members: absence.NewMembers(b.startedAt),
 	}
 	n.machine = balancer.New(balancer.Config{
 		DataCentre:  s.DataCentre,
@@ -77,12 +79,14 @@
 		ToClient:    b.toClient,
 		Random:      random,
 		AllReported: n.allReported,
+		Members:     n.members,
 		LossChanged: n.logLoss,
 		Observe:     n.observe,
 	})
 	n.digests = &digests{node: n}
 	n.storeRestored = n.handleRestore
-	n.directory = b.newDirectory(platform.Balancers, n.addHosts)
+	n.directory = b.newDirectory(platform.Balancers, n.addDirectory)
+	n.directory.currentFirst = true
 	n.registerMetrics()
 	if err := n.start(); err != nil {
 		return err
@@ -184,6 +188,9 @@
 	}
 	// Only a report tells what the sidecar's upstream may hold. Until the first one, its
 	// host stays one of those that allReported waits for.
+	if m.Kind == relay.KindRoster {
+		n.addHosts(now, platform.Hosts{platform.Sidecars: m.Roster.Hosts})
+	}
 	departed := m.Kind == relay.KindReport && m.Report.Departed
 	appeared := false
 	switch {
@@ -211,14 +218,17 @@
 	n.logger.Info("sidecar-regained", zap.Stringer("sidecar", sidecar))
 }
 
-// allReported reports whether every sidecar that may hold flows has reported.
+// allReported reports whether every sidecar that any source has listed has reported or does
+// not respond.
 func (n *balancerNode) allReported() bool {
 	now := n.clock.Now()
-	wait := reportWait
-	if n.directory.wasRead.Load() {
-		wait = reportWaitWithDirectory
-	}
-	return now-n.startedAt >= wait && len(n.sidecars.Awaited(now)) == 0
+	return now-n.startedAt >= settleTime && len(n.sidecars.Awaited(now)) == 0
+}
+
+// addDirectory adds the hosts that the directory lists. The first list is not stale.
+func (n *balancerNode) addDirectory(now clock.Millis, hosts platform.Hosts) {
+	n.members.DirectoryRead(now, hosts[platform.Sidecars])
+	n.addHosts(now, hosts)
 }
 
 // handleRestore handles a restore of the store that this process has noticed.
--- a/internal/flow/node/directory.go
+++ b/internal/flow/node/directory.go
@@ -56,9 +56,15 @@
 	// onDrain is called with the start time of a draining upstream that a read of the entry
 	// has found; nil for a process without an upstream.
 	onDrain func(upstreamStart int64)
-	// wasRead is set when the list has been read at least once.
-	wasRead atomic.Bool
-	// mutex guards own, the process's own entry. It is not held during calls.
+	// currentFirst is set if the first read of the list must not be stale. wasRead is set when
+	// the list has been read at least once.
+	currentFirst bool
+	wasRead      atomic.Bool
+	// entryRead is set when the process's own entry has been read, and entryFound if the
+	// first read has found it. No earlier call of this process writes it.
+	entryRead, entryFound bool
+	// mutex guards own, the process's own entry, and what is known of it. It is not held
+	// during calls.
 	mutex sync.Mutex
 	own   *entry.Entry
 	// wake ends the wait for the next step. readDue is set if that step reads the list.
@@ -146,7 +152,11 @@
 
 // readHosts reads the list. It reports whether the process's own host is in it.
 func (d *directory) readHosts(ctx context.Context) (bool, error) {
-	hosts, err := d.base.store.ListHosts(ctx)
+	list := d.base.store.ListHosts
+	if d.currentFirst && !d.wasRead.Load() {
+		list = d.base.store.ListCurrentHosts
+	}
+	hosts, err := list(ctx)
 	if err != nil {
 		return false, err
 	}
@@ -194,6 +204,9 @@
 		result.Outcome, err = entry.Done, nil
 	}
 	d.mutex.Lock()
+	if call.Action == entry.Read && result.Outcome == entry.Done && !d.entryRead {
+		d.entryRead, d.entryFound = true, result.Item.Revision > 0
+	}
 	known := d.own.DrainingUpstreamStart()
 	d.own.Ended(d.base.clock.Now(), call, result)
 	found := d.own.DrainingUpstreamStart()
@@ -232,6 +245,14 @@
 	return d.own.DrainingUpstreamStart()
 }
 
+// foundEntry reports whether the process's own entry was in the store when the process
+// started. It returns false if that is unknown.
+func (d *directory) foundEntry() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.entryFound
+}
+
 // recordDrain records in the process's own entry that the upstream with the given
 // start time in Unix milliseconds drains, for the next incarnation of this process. If
 // the store does not respond in time, serve writes the record later.
--- a/internal/flow/node/sidecar.go
+++ b/internal/flow/node/sidecar.go
@@ -4,11 +4,11 @@
 	"context"
 	"net"
 	"net/netip"
-	"slices"
 
 	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/internal/common/identity"
 	"github.com/orioledyke/orioledyke/internal/common/settings"
+	"github.com/orioledyke/orioledyke/internal/flow/absence"
 	"github.com/orioledyke/orioledyke/internal/flow/registration"
 	"github.com/orioledyke/orioledyke/internal/flow/relay"
 	"github.com/orioledyke/orioledyke/internal/flow/sidecar"
@@ -51,8 +51,10 @@
 	registration    *registration.Registration
 	outbound        *net.UDPConn
 	responseTimes   prometheus.Histogram
-	// siblingsByBalancer holds the sidecars of the service that each balancer has listed.
-	siblingsByBalancer    map[netip.Addr][]netip.Addr
+	roster          *absence.Roster
+	// rosterReceivers are the balancers that get the roster with the next report again,
+	// because a datagram may be lost.
+	rosterReceivers       []netip.Addr
 	incarnation           identity.OwnerID
 	lastContact           clock.Millis
 	lastReport            clock.Millis
@@ -85,7 +87,7 @@
 	}
 	defer b.close()
 	n := &sidecarNode{
-		base: b, sidecarSettings: s, incarnation: identity.NewOwnerID(), siblingsByBalancer: map[netip.Addr][]netip.Addr{},
+		base: b, sidecarSettings: s, incarnation: identity.NewOwnerID(), roster: absence.NewRoster(),
 		registration: registration.New(registration.Config{Address: s.UpstreamAddress, Service: s.Service}),
 	}
 	if n.outbound, err = listenUDP("outbound-address", s.OutboundAddress); err != nil {
@@ -123,8 +125,10 @@
 		n.directory.restoreDrain(ctx)
 		n.mutex.Lock()
 		defer n.mutex.Unlock()
+		now := n.clock.Now()
 		n.drainRestored = true
-		n.applyRegistration(n.clock.Now())
+		n.applyRegistration(now)
+		n.sendRoster(n.balancers.Live(now))
 		return nil
 	})
 	if err := n.addSettings(n.applySettings); err != nil {
@@ -169,8 +173,13 @@
 	default:
 		n.machine.HandleMessage(now, from, m)
 		n.reportFurtherAddress(now)
+		if m.Kind == relay.KindHint || m.Kind == relay.KindAbsent {
+			n.roster.Heard(now, from.Addr())
+		}
 	case relay.KindPing:
 		n.reportTo([]netip.Addr{from.Addr()})
+	case relay.KindReport:
+		n.handleSiblingReport(now, from.Addr(), m.Report)
 	case relay.KindEpoch:
 		n.handleEpoch(m.Epoch)
 	case relay.KindDigest:
@@ -179,6 +188,8 @@
 		if appeared {
 			n.logger.Info("balancer-appeared", zap.Stringer("balancer", from))
 			n.reportTo([]netip.Addr{from.Addr()})
+			n.sendRoster([]netip.Addr{from.Addr()})
+			n.rosterReceivers = append(n.rosterReceivers, from.Addr())
 		}
 		n.addBalancers(now, platform.Hosts{platform.Balancers: m.Digest.Balancers})
 		n.updateSiblings(now, from.Addr(), m.Digest.Siblings)
@@ -294,28 +305,6 @@
 	n.reportTo(n.balancers.MarkListed(now, hosts[platform.Balancers]))
 }
 
-// updateSiblings records the sidecars of the service that a balancer lists. Balancers
-// may know different sidecars, so the lists of all sibling notifiers are combined.
-// Lists of balancers that are no longer live or no longer notifiers are dropped.
-func (n *sidecarNode) updateSiblings(now clock.Millis, from netip.Addr, hosts []netip.Addr) {
-	if len(hosts) == 0 {
-		return
-	}
-	n.siblingsByBalancer[from] = hosts
-	var siblings []netip.AddrPort
-	live := n.balancers.Live(now)
-	for balancer, hosts := range n.siblingsByBalancer {
-		if !slices.Contains(live, balancer) || !isNotifier(balancer, n.settings.RelayAddress.Addr(), live) {
-			delete(n.siblingsByBalancer, balancer)
-			continue
-		}
-		for _, host := range hosts {
-			siblings = append(siblings, netip.AddrPortFrom(host, n.settings.RelayAddress.Port()))
-		}
-	}
-	n.machine.SetSiblings(now, siblings)
-}
-
 // sendReports does the periodic work of the sidecar, and reports the state of the
 // upstream to the live balancers when their report interval has passed.
 func (n *sidecarNode) sendReports(context.Context) {
@@ -323,6 +312,9 @@
 	defer n.mutex.Unlock()
 	now := n.clock.Now()
 	n.machine.Tick(now)
+	n.probeSiblings(now)
+	n.sendRoster(n.rosterReceivers)
+	n.rosterReceivers = nil
 	if n.upstreamID != "" && now > n.learnUntil {
 		n.machine.SetLearning(false)
 	}
--- a/internal/flow/node/sidecar_test.go
+++ b/internal/flow/node/sidecar_test.go
@@ -8,6 +8,7 @@
 	"github.com/google/go-cmp/cmp/cmpopts"
 	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/internal/common/settings"
+	"github.com/orioledyke/orioledyke/internal/flow/absence"
 	"github.com/orioledyke/orioledyke/internal/flow/peerset"
 	"github.com/orioledyke/orioledyke/internal/flow/registration"
 	"github.com/orioledyke/orioledyke/internal/flow/relay"
@@ -53,8 +54,10 @@
 			settings: settings.FlowProcess{RelayAddress: self}, relayConn: r.sender, clock: r.now.Clock(), logger: zap.NewNop(),
 			balancers: peerset.New(self.Addr()),
 		},
-		registration: registration.New(registration.Config{}),
+		registration: registration.New(registration.Config{}), roster: absence.NewRoster(),
+		sidecarSettings: settings.FlowSidecar{Service: "portal"},
 	}
+	r.node.directory = r.node.newDirectory(platform.Sidecars, r.node.addBalancers)
 	r.node.machine = sidecar.New(sidecar.Config{
 		Self: self, Decode: platform.DecodeSegment, ToUpstream: func([]byte) {},
 		ToPeer: func(to netip.AddrPort, data []byte) { r.node.send(r.sender, to, data) },
--- a/internal/flow/relay/message.go
+++ b/internal/flow/relay/message.go
@@ -52,6 +52,8 @@
 	// KindEpoch announces that the metadata store has been restored and is in a later
 	// epoch. It goes from balancers to all hosts.
 	KindEpoch
+	// KindRoster carries the Roster of a sidecar to a balancer that has appeared.
+	KindRoster Kind = 15
 )
 
 // MaxMessage is the maximum length of a datagram in bytes.
@@ -162,6 +164,7 @@
 	Packet []byte
 	Report Report
 	Digest Digest
+	Roster Roster
 	// Epoch is the epoch of the store that a KindEpoch message announces.
 	Epoch store.Epoch
 }
@@ -230,6 +233,8 @@
 		return m.Report.append(b), nil
 	case KindDigest:
 		return m.Digest.append(b)
+	case KindRoster:
+		return m.Roster.append(b)
 	default:
 		return b, errInvalidMessage
 	}
@@ -365,6 +370,10 @@
 		var err error
 		m.Digest, err = decodeDigest(data)
 		return m, err
+	case KindRoster:
+		var err error
+		m.Roster, err = decodeRoster(data)
+		return m, err
 	default:
 		return Message{}, errInvalidMessage
 	}
--- a/internal/flow/relay/message_test.go
+++ b/internal/flow/relay/message_test.go
@@ -43,6 +43,10 @@
 			Balancers: []netip.Addr{netip.MustParseAddr("10.1.0.1"), netip.MustParseAddr("10.1.0.2")},
 			Siblings:  []netip.Addr{netip.MustParseAddr("10.2.0.1")},
 		}},
+		{Kind: relay.KindRoster, Roster: relay.Roster{
+			Incarnation: 99, Age: 70_000, EntryFound: true, Complete: true, Hosts: []netip.Addr{netip.MustParseAddr("10.2.0.1")},
+		}},
+		{Kind: relay.KindRoster, Roster: relay.Roster{Age: 5, Complete: true}},
 	} {
 		data, err := m.Append(nil)
 		c.Assert(err, qt.IsNil)
@@ -60,6 +64,7 @@
 		c.Assert(decoded.PastGoal, qt.Equals, m.PastGoal)
 		c.Assert(decoded.Epoch, qt.Equals, m.Epoch)
 		c.Assert(decoded.Report, qt.CmpEquals(cmpopts.EquateComparable(netip.AddrPort{})), m.Report)
+		c.Assert(decoded.Roster, qt.CmpEquals(cmpopts.EquateComparable(netip.Addr{})), m.Roster)
 		c.Assert(decoded.Digest, qt.CmpEquals(cmpopts.EquateComparable(netip.Addr{})), m.Digest)
 	}
 }
