balancer: Take no flow for lost while behind by a configuration

A balancer that has not put the newest configuration into effect does not know the route's new target, in which another balancer may have placed the flow. While a live peer has reported a newer version, a search proves nothing now. A peer that has ended does not count, because a restore of the store may have lost its version.

TestLostFlowIsReset covers it.

--- a/internal/flow/balancer/balancer.go
+++ b/internal/flow/balancer/balancer.go
@@ -141,6 +141,10 @@
 	// does not respond. Until then, a flow that no sidecar claims may still exist. If
 	// AllReported is nil, all sidecars count as having reported.
 	AllReported func() bool
+	// Behind reports whether another balancer has a newer configuration in effect. It may
+	// have placed a flow on a target that this balancer does not know. If Behind is nil, none
+	// has.
+	Behind func() bool
 	// Members decides whether all sidecars of a service are known. If it is nil, they are.
 	Members *absence.Members
 	// LossChanged is called when a sidecar begins or ceases to count as lost, with the time
@@ -231,6 +235,9 @@
 	if config.LossChanged == nil {
 		config.LossChanged = func(netip.AddrPort, bool, clock.Millis) {}
 	}
+	if config.Behind == nil {
+		config.Behind = func() bool { return false }
+	}
 	if config.AllReported == nil {
 		config.AllReported = func() bool { return true }
 	}
--- a/internal/flow/balancer/balancer_test.go
+++ b/internal/flow/balancer/balancer_test.go
@@ -55,6 +55,7 @@
 	balancer    *balancer.Balancer
 	now         clock.Millis
 	allReported bool
+	behind      bool
 	// forwards holds the recipient of each datagram to a sidecar, or searchRequest.
 	forwards []string
 	resets   int
@@ -96,6 +97,7 @@
 		ToClient:    func(netip.Addr, []byte) { h.resets++ },
 		Random:      func(int) int { return 0 },
 		AllReported: func() bool { return h.allReported },
+		Behind:      func() bool { return h.behind },
 		LossChanged: func(_ netip.AddrPort, lost bool, _ clock.Millis) { h.losses = append(h.losses, lost) },
 	})
 	h.balancer.SetTable(h.now, route.NewTable(route.Config{Version: 1, Routes: []route.Route{
@@ -263,7 +265,8 @@
 	h.c.Assert(h.takeForwards(), qt.DeepEquals, []string{searchRequest})
 }
 
-// Guards against resetting a flow whose owner was not queried or has not reported yet.
+// Guards against resetting a flow whose owner was not queried or has not reported yet, or may
+// be a target of a newer configuration.
 // Guards also against clients that wait for a response in a flow that no upstream holds.
 func TestLostFlowIsReset(t *testing.T) {
 	h := newHarness(t)
@@ -277,7 +280,10 @@
 	h.allReported = false
 	searchWithoutOwner(3)
 	h.c.Assert(h.resets, qt.Equals, 0)
-	h.allReported = true
+	h.allReported, h.behind = true, true
+	searchWithoutOwner(3)
+	h.c.Assert(h.resets, qt.Equals, 0)
+	h.behind = false
 	h.balancer.HandleClient(h.now, packet(ackFlags, 1, 10))
 	h.absentAtFirst(3)
 	h.c.Assert(h.resets, qt.Equals, 0)
--- a/internal/flow/balancer/search.go
+++ b/internal/flow/balancer/search.go
@@ -123,7 +123,8 @@
 		return
 	}
 	service := sc.report.Service
-	if !absence.Covers(m.QueriedHosts, b.possibleOwners(now, f, service)) || !b.config.AllReported() {
+	covered := absence.Covers(m.QueriedHosts, b.possibleOwners(now, f, service))
+	if !covered || !b.config.AllReported() || b.config.Behind() {
 		f.absence.Unproved(service, from)
 		b.record(Event{Outcome: OutcomeUnresolved, Key: m.Key, Sidecar: from, Attempt: int(m.Queried)})
 		return
--- a/internal/flow/configuration/peers.go
+++ b/internal/flow/configuration/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 
 	"github.com/orioledyke/orioledyke/internal/common/clock"
 )
@@ -162,3 +163,15 @@
 	}
 	return newest, now - p.behindSince, len(p.reports) > 0
 }
+
+// BehindAny reports whether one of the given peers has reported a newer version than the one
+// in effect.
+func (p *Peers) BehindAny(peers []netip.Addr) bool {
+	if len(p.reports) == 0 {
+		return false
+	}
+	return slices.ContainsFunc(peers, func(peer netip.Addr) bool {
+		_, behind := p.reports[peer]
+		return behind
+	})
+}
--- a/internal/flow/configuration/peers_test.go
+++ b/internal/flow/configuration/peers_test.go
@@ -173,3 +173,17 @@
 	p.Applied(31*clock.Second, 4, true)
 	c.Assert(p.StoreOverdue(30*clock.Second+applyLimit), qt.IsTrue)
 }
+
+// Guards against a balancer that counts as behind for good because of a peer that has ended
+// with a version which a restore of the store has lost.
+func TestBehindAny(t *testing.T) {
+	c := qt.New(t)
+	p := configuration.NewPeers()
+	p.Applied(0, 1, false)
+	p.Report(0, peerAddress(0), 2)
+	p.Report(0, peerAddress(1), 1)
+	c.Assert(p.BehindAny([]netip.Addr{peerAddress(1), peerAddress(0)}), qt.IsTrue)
+	c.Assert(p.BehindAny([]netip.Addr{peerAddress(1)}), qt.IsFalse)
+	p.Applied(0, 2, true)
+	c.Assert(p.BehindAny([]netip.Addr{peerAddress(0)}), qt.IsFalse)
+}
--- a/internal/flow/node/balancer.go
+++ b/internal/flow/node/balancer.go
@@ -79,6 +79,7 @@
 		ToClient:    b.toClient,
 		Random:      random,
 		AllReported: n.allReported,
+		Behind:      func() bool { return n.versions.BehindAny(n.balancers.Live(n.clock.Now())) },
 		Members:     n.members,
 		LossChanged: n.logLoss,
 		Observe:     n.observe,
--- a/internal/standin/fleet/balancer.go
+++ b/internal/standin/fleet/balancer.go
@@ -81,6 +81,7 @@
 		ToClient:    b.toClient,
 		Random:      b.cluster.random.IntN,
 		AllReported: b.allReported,
+		Behind:      b.behind,
 	})
 	if b.cluster.store != nil {
 		b.startLearning()
@@ -136,6 +137,24 @@
 	return true
 }
 
+// behind reports whether another balancer has a newer configuration. Without Config.Store,
+// balancers do not exchange digests, and know at once.
+func (b *balancerHost) behind() bool {
+	if b.cluster.config.Mutant == BehindIgnored {
+		return false
+	}
+	var peers []netip.Addr
+	for _, other := range b.cluster.balancers {
+		if other != b && other.up && other.logic.Table().Version() > b.logic.Table().Version() && b.learner == nil {
+			return true
+		}
+		if other.up {
+			peers = append(peers, other.relayAddress.Addr())
+		}
+	}
+	return b.learner != nil && b.learner.peers.BehindAny(peers)
+}
+
 func (b *balancerHost) tick(incarnation int) {
 	if !b.up || b.incarnation != incarnation {
 		return
--- a/internal/standin/fleet/cluster.go
+++ b/internal/standin/fleet/cluster.go
@@ -105,6 +105,13 @@
 	storeMutantEnd
 )
 
+// Mutants that only show in runs of their own.
+const (
+	// BehindIgnored makes a balancer take a flow for lost although another balancer has a
+	// newer configuration.
+	BehindIgnored Mutant = iota + storeMutantEnd + 1
+)
+
 // StoreMutants returns the mutants that need Config.Store.
 func StoreMutants() []Mutant {
 	var all []Mutant
--- a/internal/standin/fleet/faults.go
+++ b/internal/standin/fleet/faults.go
@@ -130,6 +130,15 @@
 	})
 }
 
+// LoseReports loses all reports of sidecars for a while.
+func (c *Cluster) LoseReports(d clock.Millis) {
+	for _, b := range c.balancers {
+		for _, u := range c.upstreams {
+			b.reportsLostUntil[u.index] = c.now + d
+		}
+	}
+}
+
 // Upstreams returns the number of hosts with an upstream so far, including removed ones.
 func (c *Cluster) Upstreams() int { return len(c.upstreams) }
 
--- a/internal/standin/fleet/fleet_test.go
+++ b/internal/standin/fleet/fleet_test.go
@@ -216,6 +216,40 @@
 	c.Assert(cluster.Served() > 250, qt.IsTrue)
 }
 
+// runBehind runs a cluster in which balancers leave the rotation while a route moves to a
+// target whose reports, which list its address, are lost for a while.
+func runBehind(config fleet.Config) *fleet.Cluster {
+	cluster := fleet.New(config)
+	cluster.Advance(5 * clock.Second)
+	for i := range config.Services - 1 {
+		cluster.StopBalancer(i%config.Balancers, 500)
+		cluster.Advance(clock.Millis(cluster.RandomInt(600)))
+		cluster.LoseReports(600)
+		cluster.Retarget(0, 1+i)
+		for range 40 {
+			cluster.OpenRandomFlow(1)
+			cluster.Advance(25)
+		}
+		cluster.Advance(5 * clock.Second)
+	}
+	cluster.Advance(15 * clock.Second)
+	return cluster
+}
+
+// Guards against a balancer that is behind by a configuration and resets a flow that another
+// one has placed on the route's new target.
+func TestBalancerBehindResetsNoFlow(t *testing.T) {
+	c := qt.New(t)
+	caught := 0
+	for s := uint64(0); s < rareMutantSeeds && (s < mutantSeeds || caught == 0); s++ {
+		config := fleet.Config{Seed: *seed + s, Balancers: 5, Upstreams: 3, Services: 8}
+		c.Assert(runBehind(config).Violations(), qt.HasLen, 0)
+		config.Mutant = fleet.BehindIgnored
+		caught += len(runBehind(config).Violations())
+	}
+	c.Assert(caught > 0, qt.IsTrue)
+}
+
 // Guards against an oracle that misses violations. Each mutant breaks one mechanism, and the
 // oracle must record a violation within mutantSeeds or rareMutantSeeds.
 func TestMutants(t *testing.T) {
