absence: Let a partial search confirm a later complete one

A search before all sidecars had reported counted for nothing, so that after a loss of power at all hosts clients waited for two more. The first of the two searches need not cover all possible owners; the late one must.

In the emulator, a sidecar now sends its roster again when it has read its entry, as in the product.

--- a/internal/flow/absence/flow.go
+++ b/internal/flow/absence/flow.go
@@ -48,13 +48,14 @@
 // finding is the result of the searches in a service.
 type finding struct {
 	service identity.ServiceID
-	// joins is the number of sidecars that had joined the service. The finding is valid as
-	// long as no other one joins, because that one may own the flow.
-	joins int
-	// searches counts those that have found no owner. late is set if the last of them began
-	// ConfirmDelay or more after the first search of the flow.
+	// searches counts those that have found no owner among the sidecars that they queried.
 	searches int
-	late     bool
+	// covered is set once one of them has covered all possible owners, and late if one of
+	// these began ConfirmDelay or more after the first search of the flow. joins is the number
+	// of sidecars that had joined the service. Both are valid as long as no other one joins,
+	// because that one may own the flow.
+	covered, late bool
+	joins         int
 }
 
 // Searched records that a sidecar was requested to search for the owner in its service.
@@ -68,10 +69,10 @@
 	}
 }
 
-// Absent records that a search by a sidecar has covered all possible owners in its service
-// and found none. joins is the number of sidecars that have joined the service so far. A
-// response to an unknown search is ignored.
-func (f *Flow) Absent(service identity.ServiceID, sidecar netip.AddrPort, joins int) {
+// Absent records that a search by a sidecar has found no owner in its service. covered is set
+// if it has covered all possible owners. joins is the number of sidecars that have joined the
+// service so far. A response to an unknown search is ignored.
+func (f *Flow) Absent(service identity.ServiceID, sidecar netip.AddrPort, joins int, covered bool) {
 	answered, ok := f.take(service, sidecar)
 	if !ok {
 		return
@@ -79,19 +80,17 @@
 	index := slices.IndexFunc(f.findings, func(known finding) bool { return known.service == service })
 	if index < 0 {
 		index = len(f.findings)
-		f.findings = append(f.findings, finding{service: service, joins: joins})
+		f.findings = append(f.findings, finding{service: service})
 	}
 	found := &f.findings[index]
-	if found.joins != joins {
-		*found = finding{service: service, joins: joins}
-	}
 	found.searches++
-	found.late = answered.startedAt-f.firstSearch >= ConfirmDelay
+	if covered {
+		earlier := found.late && found.joins == joins
+		found.covered, found.joins = true, joins
+		found.late = earlier || answered.startedAt-f.firstSearch >= ConfirmDelay
+	}
 }
 
-// Unproved removes a search that has not covered all possible owners.
-func (f *Flow) Unproved(service identity.ServiceID, sidecar netip.AddrPort) { f.take(service, sidecar) }
-
 // take removes the oldest search of a sidecar that has got no response. Responses do not
 // name their search, so that the oldest one is the safe assumption.
 func (f *Flow) take(service identity.ServiceID, sidecar netip.AddrPort) (search, bool) {
@@ -104,11 +103,12 @@
 	return search{}, false
 }
 
-// Found reports whether the flow was found absent from a service, and whether a later search
-// has confirmed that. joins is the number of sidecars that have joined the service so far.
+// Found reports whether the flow was found absent from a service, and whether two searches
+// agree, of which one began late and has covered all possible owners. joins is the number of
+// sidecars that have joined the service so far.
 func (f *Flow) Found(service identity.ServiceID, joins int) (absent, confirmed bool) {
 	for _, known := range f.findings {
-		if known.service == service && known.joins == joins {
+		if known.service == service && known.covered && known.joins == joins {
 			return true, known.late && known.searches > 1
 		}
 	}
--- a/internal/flow/balancer/balancer_test.go
+++ b/internal/flow/balancer/balancer_test.go
@@ -284,6 +284,14 @@
 	searchWithoutOwner(3)
 	h.c.Assert(h.resets, qt.Equals, 0)
 	h.behind = false
+	searchWithoutOwner(3)
+	h.c.Assert(h.resets, qt.Equals, 1)
+}
+
+// Guards against a reset on a single search, which may miss a flow that opens meanwhile.
+func TestAbsenceIsConfirmed(t *testing.T) {
+	h := newHarness(t)
+	h.reportAll()
 	h.balancer.HandleClient(h.now, packet(ackFlags, 1, 10))
 	h.absentAtFirst(3)
 	h.c.Assert(h.resets, qt.Equals, 0)
--- a/internal/flow/balancer/search.go
+++ b/internal/flow/balancer/search.go
@@ -123,13 +123,12 @@
 		return
 	}
 	service := sc.report.Service
-	covered := absence.Covers(m.QueriedHosts, b.possibleOwners(now, f, service))
-	if !covered || !b.config.AllReported() || b.config.Behind() {
-		f.absence.Unproved(service, from)
+	covered := absence.Covers(m.QueriedHosts, b.possibleOwners(now, f, service)) && b.config.AllReported() && !b.config.Behind()
+	f.absence.Absent(service, from, b.joins[service], covered)
+	if !covered {
 		b.record(Event{Outcome: OutcomeUnresolved, Key: m.Key, Sidecar: from, Attempt: int(m.Queried)})
 		return
 	}
-	f.absence.Absent(service, from, b.joins[service])
 	r, ok := b.table.Lookup(m.Key.Service())
 	if !ok || !absence.Lost(b.absenceEvidence(now, f, r)) {
 		return
--- a/internal/standin/fleet/keeper.go
+++ b/internal/standin/fleet/keeper.go
@@ -42,6 +42,8 @@
 	// onList is called at the store with each list of the hosts, and returns what is to be
 	// done when the response has arrived; nil for a balancer.
 	onList func(*metadata.Store) func()
+	// onFirstRead is called when the first read of the entry has ended.
+	onFirstRead func()
 	// found is set if the first read has found the entry. entryRead is set after that read.
 	found, entryRead bool
 	// failed is set from a failed call until the next one that succeeds.
@@ -54,7 +56,7 @@
 }
 
 func newKeeper(c *Cluster, key string, client *storeClient, t *timeline) *keeper {
-	k := &keeper{cluster: c, key: key, client: client, entry: entry.New(), timeline: t}
+	k := &keeper{cluster: c, key: key, client: client, entry: entry.New(), timeline: t, onFirstRead: func() {}}
 	k.settle()
 	k.scheduleList()
 	return k
@@ -90,6 +92,7 @@
 		k.timeline.add(k.cluster.now, "entry: %+v", result)
 		if call.Action == entry.Read && !k.entryRead {
 			k.entryRead, k.found = true, result.Item.Revision > 0
+			k.onFirstRead()
 		}
 		k.succeeded()
 		known := k.entry.DrainingUpstreamStart()
@@ -267,6 +270,14 @@
 	u.timeline.add(u.cluster.now, "started")
 	u.keeper = newKeeper(u.cluster, fmt.Sprint("sidecars/", u.index), client, &u.timeline)
 	u.keeper.onList = u.readBalancers
+	u.keeper.onFirstRead = func() {
+		clear(u.rostersSent)
+		for _, b := range u.cluster.balancers {
+			if u.knows(b) {
+				u.sendRoster(b)
+			}
+		}
+	}
 	u.keeper.after(0, func() { u.keeper.readList(func() {}) })
 	u.keeper.onDrain = func(upstreamStart int64) {
 		u.registration.RestoreDrain(upstreamStart)
