sidecar: Wait for two heartbeats after the announcement of a restore

A sidecar that was down while a restore of the store lost the record of its upstream's drain took the first heartbeat for the state of the upstream. A late one of an earlier incarnation hid the drain for up to a heartbeat interval.

The emulator took any refusal for the acknowledgement of a drain; it now requires that the upstream drains.

--- a/internal/flow/node/outage.go
+++ b/internal/flow/node/outage.go
@@ -92,3 +92,13 @@
 		n.directory.lookSoon()
 	}
 }
+
+// doubtDrains makes a process that has just started wait for two heartbeats of the upstream
+// after the announcement of a restore. The restore may have lost the record of a drain while
+// no process ran here that could write it again. The wait ends with the next heartbeat.
+func (n *sidecarNode) doubtDrains(now clock.Millis) {
+	if now-n.startedAt < epochAnnounceTime {
+		n.registration.RequireTwo()
+		n.applyRegistration(now)
+	}
+}
--- a/internal/flow/node/sidecar.go
+++ b/internal/flow/node/sidecar.go
@@ -184,6 +184,7 @@
 		n.handleSiblingReport(now, from.Addr(), m.Report)
 	case relay.KindEpoch:
 		n.handleEpoch(m.Epoch)
+		n.doubtDrains(now)
 	case relay.KindVerify:
 		n.handleVerify(now, m.Outage)
 	case relay.KindDigest:
@@ -283,7 +284,7 @@
 	switch {
 	case n.stopping:
 		n.machine.Refuse(relay.ReasonStopping)
-	case !known || !n.drainRestored:
+	case !known || !n.drainRestored || n.registration.AwaitsSecond():
 		n.machine.Refuse(relay.ReasonUnregistered)
 	case !n.registration.Accepting():
 		n.machine.Refuse(relay.ReasonDraining)
--- a/internal/flow/node/sidecar_test.go
+++ b/internal/flow/node/sidecar_test.go
@@ -86,3 +86,22 @@
 	r.c.Assert(sent, qt.HasLen, 1)
 	r.c.Assert(sent[0].Report.Addresses, qt.CmpEquals(cmpopts.EquateComparable(netip.AddrPort{})), []netip.AddrPort{address})
 }
+
+// Guards against new flows for a leaving upstream after a restore that has lost the record of
+// its drain: a process that has just started takes a single heartbeat, which may be a late one
+// of an earlier incarnation, for the state of the upstream. Later announcements change nothing.
+func TestAnnouncedRestoreDoubtsFirstHeartbeat(t *testing.T) {
+	for age, doubts := range map[clock.Millis]bool{0: true, 10 * clock.Second: false} {
+		r := newSidecarRecorder(t)
+		n := r.node
+		n.drainRestored = true
+		n.startedAt = n.clock.Now() - age
+		heartbeat := registration.Heartbeat{ID: "u-1", Service: "portal", StartedAt: 7, Sequence: 8}
+		r.handle(netip.MustParseAddr("127.1.0.1"), relay.Message{Kind: relay.KindEpoch, Epoch: 2})
+		r.c.Assert(n.applyHeartbeat(heartbeat), qt.Equals, registration.Applied)
+		r.c.Assert(n.machine.Accepting(), qt.Equals, !doubts)
+		heartbeat.Sequence++
+		r.c.Assert(n.applyHeartbeat(heartbeat), qt.Equals, registration.Applied)
+		r.c.Assert(n.machine.Accepting(), qt.IsTrue)
+	}
+}
--- a/internal/flow/registration/registration.go
+++ b/internal/flow/registration/registration.go
@@ -69,6 +69,9 @@
 	// drainingStartedAt is the start time of the newest incarnation whose drain was
 	// reported to an earlier incarnation of this process; 0 means none.
 	drainingStartedAt int64
+	// confirmed is set once the current incarnation has sent two heartbeats in order.
+	// requiresTwo is set if new flows need that.
+	confirmed, requiresTwo bool
 }
 
 // New returns a Registration to which no upstream has registered yet.
@@ -87,6 +90,11 @@
 	r.drainingStartedAt = max(r.drainingStartedAt, startedAt)
 }
 
+// RequireTwo makes the upstream get new flows only after two heartbeats of its incarnation.
+// The record of a drain may have been lost, so that a single late heartbeat of an earlier
+// incarnation must not hide that the current one drains.
+func (r *Registration) RequireTwo() { r.requiresTwo = true }
+
 // Heartbeat applies a heartbeat, unless it is stale or foreign.
 func (r *Registration) Heartbeat(now clock.Millis, h Heartbeat) Result {
 	if h.Address != r.config.Address || (r.config.Service != "" && h.Service != r.config.Service) {
@@ -97,12 +105,14 @@
 			return Stale
 		}
 		r.apply(now, h)
+		r.confirmed = true
 		return Applied
 	}
 	if r.known && h.StartedAt < r.current.StartedAt && now-r.lastHeartbeat < replaceTimeout {
 		return Stale
 	}
 	r.apply(now, h)
+	r.confirmed = false
 	return Applied
 }
 
@@ -128,13 +138,18 @@
 // Current returns the newest heartbeat of the upstream, or false before the first one.
 func (r *Registration) Current() (Heartbeat, bool) { return r.current, r.known }
 
-// Accepting reports whether the upstream may get new flows: it has registered, and has
-// neither deregistered nor reported that it drains.
+// Accepting reports whether the upstream may get new flows: it has registered, with two
+// heartbeats if RequireTwo was called, and has neither deregistered nor reported that it
+// drains.
 func (r *Registration) Accepting() bool {
 	restoredDrain := r.drainingStartedAt > 0 && r.current.StartedAt <= r.drainingStartedAt
-	return r.known && !r.deregistered && !r.current.Draining && !restoredDrain
+	return r.known && !r.deregistered && !r.current.Draining && !restoredDrain && !r.AwaitsSecond()
 }
 
+// AwaitsSecond reports whether the upstream gets no new flows until its next heartbeat,
+// because RequireTwo was called.
+func (r *Registration) AwaitsSecond() bool { return r.requiresTwo && !r.confirmed }
+
 // Deregistered reports whether the current incarnation has deregistered.
 func (r *Registration) Deregistered() bool { return r.deregistered }
 
--- a/internal/flow/registration/registration_test.go
+++ b/internal/flow/registration/registration_test.go
@@ -33,6 +33,23 @@
 	return registration.New(registration.Config{Address: address, Service: "portal"})
 }
 
+// Guards against new flows for an upstream whose recorded drain a restore of the store has
+// lost, because a late heartbeat of an earlier incarnation arrives first. Guards also against
+// an upstream that gets no new flows for longer than to its second heartbeat.
+func TestSecondHeartbeatConfirms(t *testing.T) {
+	c := qt.New(t)
+	r := newRegistration()
+	r.RequireTwo()
+	c.Assert(r.Heartbeat(0, heartbeat("old", 50, 900)), qt.Equals, registration.Applied)
+	c.Assert(r.Accepting(), qt.IsFalse)
+	c.Assert(r.Heartbeat(10, heartbeat("a", 100, 8)), qt.Equals, registration.Applied)
+	c.Assert(r.Accepting(), qt.IsFalse)
+	c.Assert(r.Heartbeat(20, heartbeat("a", 100, 8)), qt.Equals, registration.Stale)
+	c.Assert(r.Accepting(), qt.IsFalse)
+	c.Assert(r.Heartbeat(1200, heartbeat("a", 100, 9)), qt.Equals, registration.Applied)
+	c.Assert(r.Accepting(), qt.IsTrue)
+}
+
 // Guards against a late heartbeat, sent before the drain, that ends the drain.
 func TestLateHeartbeatIsIgnored(t *testing.T) {
 	c := qt.New(t)
--- a/internal/standin/fleet/keeper.go
+++ b/internal/standin/fleet/keeper.go
@@ -33,6 +33,8 @@
 	entry   *entry.Entry
 	// onDrain is called when a read has found a drain; nil for a balancer.
 	onDrain func(upstreamStart int64)
+	// onAnnouncement is called when a balancer announces a restore; nil for a balancer.
+	onAnnouncement func()
 	// onRestore is called when the process has noticed a restore; nil for a sidecar.
 	onRestore func()
 	// epoch is the newest that the store has stated, and announced the newest that a
@@ -236,6 +238,9 @@
 }
 
 func (k *keeper) handleAnnouncement(epoch store.Epoch) {
+	if k.onAnnouncement != nil {
+		k.onAnnouncement()
+	}
 	if k.epoch == 0 || epoch <= max(k.epoch, k.announced) {
 		return
 	}
@@ -270,6 +275,12 @@
 	u.timeline.add(u.cluster.now, "started")
 	u.keeper = newKeeper(u.cluster, fmt.Sprint("sidecars/", u.index), client, &u.timeline)
 	u.keeper.onList = u.readBalancers
+	u.keeper.onAnnouncement = func() {
+		if u.cluster.now-u.sidecarStartedAt < announceTime {
+			u.registration.RequireTwo()
+			u.applyRegistration()
+		}
+	}
 	u.keeper.onFirstRead = func() {
 		clear(u.rostersSent)
 		for _, b := range u.cluster.balancers {
--- a/internal/standin/fleet/upstream.go
+++ b/internal/standin/fleet/upstream.go
@@ -381,7 +381,7 @@
 	default:
 		u.storedDrainStart = h.StartedAt
 	}
-	if h.StartedAt == u.startedAt && u.drainAcknowledgedAt == 0 {
+	if u.draining && h.StartedAt == u.startedAt && u.drainAcknowledgedAt == 0 {
 		u.drainAcknowledgedAt = u.cluster.now
 	}
 }
