absence: Decide at the same cost in a system with many services

A search that ends within 3 s of a balancer's start went through the whole directory for each service that learns, 1,300 times 4,700 hosts in a large system. Counts for each service replace that. What searches have found is kept only for flows that are searched.

--- a/internal/flow/absence/members.go
+++ b/internal/flow/absence/members.go
@@ -25,27 +25,32 @@
 type Members struct {
 	startedAt clock.Millis
 	// directoryReadAt is when the directory was first read. It is valid if directoryRead is
-	// set. listed are the sidecars that it listed.
+	// set.
 	directoryReadAt clock.Millis
 	directoryRead   bool
-	listed          []netip.Addr
 	hosts           map[netip.Addr]*member
 	services        map[identity.ServiceID]*service
 }
 
-// member is what a sidecar has said about itself.
+// member is what is known about a sidecar.
 type member struct {
-	// service is valid after a report, and entryFound after a roster.
+	// service is what the sidecar has reported, and entryFound what its roster has said.
 	service              identity.ServiceID
 	reported, entryFound bool
+	// listed is set if the directory listed the sidecar.
+	listed bool
 	// older is set if the process runs longer than the balancer and has sent its siblings.
 	older bool
 }
 
-// service is what is known about a service as a whole.
+// service is what is known about a service as a whole. The counts make a decision as cheap in
+// a system with thousands of sidecars as in a small one.
 type service struct {
 	// older is set once a sidecar that runs longer than the balancer has sent its siblings.
 	older bool
+	// listed counts the sidecars that the directory listed and that have reported the service,
+	// and found those of them that have found their own entries.
+	listed, found int
 }
 
 // NewMembers returns the Members of a balancer that has started at a time.
@@ -56,19 +61,20 @@
 // DirectoryRead records the sidecars that the directory lists in a response that is not
 // stale. Only the first call counts.
 func (m *Members) DirectoryRead(now clock.Millis, sidecars []netip.Addr) {
-	if m != nil && !m.directoryRead {
-		m.directoryRead, m.directoryReadAt, m.listed = true, now, sidecars
+	if m == nil || m.directoryRead {
+		return
+	}
+	m.directoryRead, m.directoryReadAt = true, now
+	for _, host := range sidecars {
+		m.change(host, func(known *member) { known.listed = true })
 	}
 }
 
 // Reported records that a sidecar has reported its service.
 func (m *Members) Reported(host netip.Addr, id identity.ServiceID) {
-	if m == nil {
-		return
+	if m != nil {
+		m.change(host, func(known *member) { known.service, known.reported = id, true })
 	}
-	known := m.host(host)
-	known.service, known.reported = id, true
-	m.join(known)
 }
 
 // Stated records the roster of a sidecar. The caller adds its hosts to those that must
@@ -77,23 +83,26 @@
 	if m == nil {
 		return
 	}
-	known := m.host(host)
-	known.entryFound = r.EntryFound
-	known.older = known.older || (r.Complete && r.Age >= now-m.startedAt)
-	m.join(known)
+	m.change(host, func(known *member) {
+		known.entryFound = r.EntryFound
+		known.older = known.older || (r.Complete && r.Age >= now-m.startedAt)
+	})
 }
 
-func (m *Members) host(address netip.Addr) *member {
-	known := m.hosts[address]
+// change changes what is known about a sidecar, and its share in what is known about its
+// service.
+func (m *Members) change(host netip.Addr, apply func(*member)) {
+	known := m.hosts[host]
 	if known == nil {
 		known = &member{}
-		m.hosts[address] = known
+		m.hosts[host] = known
 	}
-	return known
+	m.count(known, -1)
+	apply(known)
+	m.count(known, 1)
 }
 
-// join adds what a sidecar has said to what is known about its service.
-func (m *Members) join(known *member) {
+func (m *Members) count(known *member, change int) {
 	if !known.reported {
 		return
 	}
@@ -103,6 +112,12 @@
 		m.services[known.service] = s
 	}
 	s.older = s.older || known.older
+	if known.listed {
+		s.listed += change
+		if known.entryFound {
+			s.found += change
+		}
+	}
 }
 
 // Complete reports whether all sidecars of a service are known, provided that every host
@@ -113,27 +128,10 @@
 	}
 	s := m.services[id]
 	if m.directoryRead && now-m.directoryReadAt < verifyTime {
-		return s != nil && (s.older || m.directoryLists(id))
+		return s != nil && (s.older || (s.listed > 0 && s.found == s.listed))
 	}
 	if m.directoryRead && s != nil {
 		return true
 	}
 	return now-m.startedAt >= discoveryTime
 }
-
-// directoryLists reports whether the directory lists sidecars of a service, and each of them
-// has found its own entry there when it started.
-func (m *Members) directoryLists(id identity.ServiceID) bool {
-	found := false
-	for _, address := range m.listed {
-		known := m.hosts[address]
-		if known == nil || !known.reported || known.service != id {
-			continue
-		}
-		if !known.entryFound {
-			return false
-		}
-		found = true
-	}
-	return found
-}
--- a/internal/flow/balancer/balancer.go
+++ b/internal/flow/balancer/balancer.go
@@ -215,8 +215,8 @@
 	searchAttempts int
 	// lastSearch is when the last attempt to find the owner began.
 	lastSearch clock.Millis
-	// absence is what these attempts have found.
-	absence absence.Flow
+	// absence is what these attempts have found; nil before the first one.
+	absence *absence.Flow
 	// unresolved is set while the search for the owner is to be repeated.
 	unresolved *unresolvedFlow
 	// acknowledged is the position that the client acknowledged in the last packet for
--- a/internal/flow/balancer/search.go
+++ b/internal/flow/balancer/search.go
@@ -28,7 +28,7 @@
 )
 
 // endSearch forgets the attempts to find the owner.
-func (f *flow) endSearch() { f.searchAttempts, f.absence, f.unresolved = 0, absence.Flow{}, nil }
+func (f *flow) endSearch() { f.searchAttempts, f.absence, f.unresolved = 0, nil, nil }
 
 // abandonsOwner reports whether the packets of a flow must not be sent to its owner any
 // more, because the owner is lost and the client may repeat its request elsewhere. Other
@@ -69,6 +69,9 @@
 		f.searchAttempts++
 		f.lastSearch = now
 	}
+	if f.absence == nil {
+		f.absence = &absence.Flow{}
+	}
 	f.acknowledged, f.awaitsResponse = s.Acknowledged, s.Length > 0
 	services := append(b.holders.known(now, r), b.holders.page(f.searchAttempts-1)...)
 	slices.Sort(services)
@@ -119,7 +122,7 @@
 // client does not wait for a response.
 func (b *Balancer) handleAbsent(now clock.Millis, from netip.AddrPort, m relay.Message) {
 	f, sc := b.flows[m.Key], b.sidecars[from]
-	if f == nil || sc == nil || f.owner.IsValid() || !f.awaitsResponse {
+	if f == nil || f.absence == nil || sc == nil || f.owner.IsValid() || !f.awaitsResponse {
 		return
 	}
 	service := sc.report.Service
@@ -158,7 +161,7 @@
 func (b *Balancer) serviceEvidence(now clock.Millis, f *flow, service identity.ServiceID, learning bool) absence.Service {
 	e := absence.Service{
 		Complete:  b.config.Members.Complete(now, service),
-		Ownerless: len(b.possibleOwners(now, f, service)) == 0, Learning: learning,
+		Ownerless: !b.hasPossibleOwner(now, f, service), Learning: learning,
 	}
 	e.Absent, e.Confirmed = f.absence.Found(service, b.joins[service])
 	return e
--- a/internal/flow/balancer/sidecar.go
+++ b/internal/flow/balancer/sidecar.go
@@ -245,18 +245,27 @@
 }
 
 // possibleOwners returns the hosts of the sidecars of a service that may own a flow and
-// serve it. A lost sidecar may, for some time, if the requests of the flow must not be
-// repeated.
+// serve it.
 func (b *Balancer) possibleOwners(now clock.Millis, f *flow, service identity.ServiceID) []netip.Addr {
 	var hosts []netip.Addr
 	for _, sc := range b.services[service] {
-		if !sc.lost || (!f.repeatable && now-sc.lastSeen < returnTimeout) {
+		if sc.possibleOwner(now, f) {
 			hosts = append(hosts, sc.address.Addr())
 		}
 	}
 	return hosts
 }
 
+func (b *Balancer) hasPossibleOwner(now clock.Millis, f *flow, service identity.ServiceID) bool {
+	return slices.ContainsFunc(b.services[service], func(sc *sidecar) bool { return sc.possibleOwner(now, f) })
+}
+
+// possibleOwner reports whether the sidecar may own a flow and serve it. A lost sidecar may,
+// for some time, if the requests of the flow must not be repeated.
+func (sc *sidecar) possibleOwner(now clock.Millis, f *flow) bool {
+	return !sc.lost || (!f.repeatable && now-sc.lastSeen < returnTimeout)
+}
+
 // setUnlisted records whether a sidecar may hold flows to addresses that it does not list.
 func (b *Balancer) setUnlisted(sc *sidecar, unlisted bool) {
 	if sc.unlisted == unlisted {
