sidecar: Take the position of the last acceptance

An upstream that restarts between the first packet of a flow and the copy that the client sends 200 ms later accepts the flow again at another position. The sidecar kept the first position, took the client's acknowledgement for that of another upstream, and reported the flow absent.

TestSecondAcceptanceCounts fails before.

--- a/internal/flow/sidecar/search_test.go
+++ b/internal/flow/sidecar/search_test.go
@@ -123,3 +123,20 @@
 	h.open()
 	h.c.Assert(h.sidecar.TakeAddressesChanged(), qt.IsFalse)
 }
+
+// Guards against a flow that is taken for lost because its upstream has restarted and accepted
+// a copy of the first packet again, at another position.
+func TestSecondAcceptanceCounts(t *testing.T) {
+	h := newHarness(t)
+	h.sidecar.Accept()
+	h.forward(balancer, false, packet(true, opens, 1, 0, 0))
+	h.sidecar.HandleUpstream(h.now, packet(false, opens|acks, 500, 2, 0))
+	h.forward(balancer, false, packet(true, opens, 1, 1, 0))
+	const later = 900_000
+	h.sidecar.HandleUpstream(h.now, packet(false, opens|acks, later, 2, 0))
+	h.takeLastKind()
+	h.toUpstream = 0
+	h.forward(balancer, false, packet(true, acks, 2, later+1, 100))
+	h.c.Assert(h.takeLastKind(), qt.Equals, relay.Kind(0))
+	h.c.Assert(h.toUpstream, qt.Equals, 1)
+}
--- a/internal/flow/sidecar/upstream.go
+++ b/internal/flow/sidecar/upstream.go
@@ -70,9 +70,12 @@
 func (s *Sidecar) handleAccepted(f *flow, p segment.Segment) {
 	if f.state == stateOffered {
 		f.state = stateAccepted
-		f.firstPosition = p.Sequence
 		s.record(Event{Outcome: OutcomeAccepted, Key: p.Key, Balancer: f.requester, Load: s.Load()})
 	}
+	if f.state == stateAccepted {
+		// An upstream that has restarted accepts the flow at another position.
+		f.firstPosition = p.Sequence
+	}
 	if f.requester.IsValid() {
 		s.respond(f.requester, relay.KindAccepted, 0, p.Key)
 	}
