--- a/internal/flow/balancer/balancer.go
+++ b/internal/flow/balancer/balancer.go
@@ -9,6 +9,7 @@
 
 	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/internal/common/identity"
+	"github.com/orioledyke/orioledyke/internal/flow/absence"
 	"github.com/orioledyke/orioledyke/internal/flow/bulk"
 	"github.com/orioledyke/orioledyke/internal/flow/outlier"
 	"github.com/orioledyke/orioledyke/internal/flow/placement"
@@ -145,9 +146,9 @@
 	ToClient  func(to netip.Addr, data []byte)
 	// Random returns a random number from 0 to n-1.
 	Random func(n int) int
-	// AllReported reports whether every sidecar that may hold flows has reported.
-	// Until then, a flow that no sidecar claims may still exist. If AllReported is nil, all
-	// sidecars count as having reported.
+	// AllReported reports whether every sidecar that any source has listed has reported or
+	// does not respond. Until then, a flow that no sidecar claims may still exist. If
+	// AllReported is nil, all sidecars count as having reported.
 	AllReported func() bool
 	// Balancers returns the number of live balancers, including this one. They share the
 	// rates of cold upstreams. If Balancers is nil, this one counts as the only one.
@@ -155,6 +156,12 @@
 	// Starting reports whether this process has started so recently that other processes
 	// may still be starting. If Starting is nil, they are not.
 	Starting func() bool
+	// Behind reports whether another balancer has a newer configuration in effect. It may
+	// have placed a flow on a target that this balancer does not know. If Behind is nil, none
+	// has.
+	Behind func() bool
+	// Members decides whether all sidecars of a service are known. If it is nil, they are.
+	Members *absence.Members
 	// LossChanged is called when a sidecar begins or ceases to count as lost, with the time
 	// since its last message. It may be nil.
 	LossChanged func(sidecar netip.AddrPort, lost bool, silence clock.Millis)
@@ -242,9 +249,8 @@
 	searchAttempts int
 	// lastSearch is when the last attempt to find the owner began.
 	lastSearch clock.Millis
-	// absences are the services in which these attempts have found that no upstream holds
-	// the flow.
-	absences []absence
+	// absence is what these attempts have found; nil before the first one.
+	absence *absence.Flow
 	// unresolved is set while the search for the owner is to be repeated.
 	unresolved *unresolvedFlow
 	// acknowledged is the position that the client acknowledged in the last packet for
@@ -269,6 +275,9 @@
 	if config.Starting == nil {
 		config.Starting = func() bool { return false }
 	}
+	if config.Behind == nil {
+		config.Behind = func() bool { return false }
+	}
 	if config.AllReported == nil {
 		config.AllReported = func() bool { return true }
 	}
@@ -363,7 +372,10 @@
 	b.now, b.lastSidecarMessage = now, now
 	switch m.Kind {
 	case relay.KindReport:
+		b.config.Members.Reported(from.Addr(), m.Report.Service)
 		b.applyReport(now, from, m.Report)
+	case relay.KindRoster:
+		b.config.Members.Stated(now, from.Addr(), m.Roster)
 	case relay.KindAccepted:
 		b.applyLoad(now, from, m.Load)
 		b.handleAccepted(now, from, m.Key)
--- a/internal/flow/node/balancer.go
+++ b/internal/flow/node/balancer.go
@@ -9,6 +9,7 @@
 	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/internal/common/identity"
 	"github.com/orioledyke/orioledyke/internal/common/settings"
+	"github.com/orioledyke/orioledyke/internal/flow/absence"
 	"github.com/orioledyke/orioledyke/internal/flow/balancer"
 	"github.com/orioledyke/orioledyke/internal/flow/configuration"
 	"github.com/orioledyke/orioledyke/internal/flow/outlier"
@@ -22,11 +23,11 @@
 )
 
 const (
-	// reportWait is how long a balancer waits for reports after its start before it
-	// assumes that it knows of all sidecars. Once it has read the directory, which lists
-	// them, it only waits reportWaitWithDirectory for the responses of other processes.
-	reportWait                           = clock.Second
-	reportWaitWithDirectory clock.Millis = 300
+	// reportWait is how long after its start a balancer is ready only with a usable sidecar.
+	reportWait = clock.Second
+	// settleTime is how long a balancer waits after its start for the responses of other
+	// processes before it takes any flow for lost.
+	settleTime clock.Millis = 300
 	// startupTime is how long after the start of this process the others may be starting,
 	// such as after all hosts lost power. It covers two heartbeat intervals of upstreams.
 	startupTime clock.Millis = 2500
@@ -44,6 +45,7 @@
 	// switch it off.
 	outliers   *outlier.Tracker
 	sidecars   *peerset.Set
+	members    *absence.Members
 	httpClient *http.Client
 	// timer fires at timerAt, the next deadline of the machine; 0 means that it is not set.
 	timer   *time.Timer
@@ -78,7 +80,7 @@
 	defer b.close()
 	n := &balancerNode{
 		base: b, sidecars: peerset.New(s.RelayAddress.Addr()), versions: configuration.NewPeers(), fetchDue: make(chan struct{}, 1),
-		httpClient: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		httpClient: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, members: absence.NewMembers(b.startedAt),
 	}
 	if s.MaxEjectedShare > 0 {
 		n.outliers = outlier.New(outlier.Config{MaxEjectedShare: s.MaxEjectedShare, Changed: n.logOutlier})
@@ -94,13 +96,16 @@
 		AllReported: n.allReported,
 		Balancers:   n.balancerCount,
 		Starting:    func() bool { return n.clock.Now()-n.startedAt < startupTime },
+		Behind:      func() bool { return n.versions.BehindAny(n.balancers.Live(n.clock.Now())) },
+		Members:     n.members,
 		LossChanged: n.logLoss,
 		Outliers:    n.outliers,
 		Observe:     n.observe,
 	})
 	n.digests, n.warmupRate = &digests{node: n}, (*route.Table).WarmupRate
 	n.storeRestored = n.handleRestore
-	n.directory = b.newDirectory(platform.Balancers, n.addHosts)
+	n.directory = b.newDirectory(platform.Balancers, n.addDirectory)
+	n.directory.currentFirst = true
 	n.registerMetrics()
 	if err := n.start(); err != nil {
 		return err
@@ -202,10 +207,15 @@
 		return
 	case relay.KindDirectives:
 		n.handleDirectives(now, from.Addr(), m.Directives)
+	case relay.KindVerify:
+		n.handleVerify(now, m.Outage)
 		return
 	}
 	// Only a report tells what the sidecar's upstream may hold. Until the first one, its
 	// host stays one of those that allReported waits for.
+	if m.Kind == relay.KindRoster {
+		n.addHosts(now, platform.Hosts{platform.Sidecars: m.Roster.Hosts})
+	}
 	departed := m.Kind == relay.KindReport && m.Report.Departed
 	appeared := false
 	switch {
@@ -236,14 +246,17 @@
 	n.logger.Info("sidecar-regained", zap.Stringer("sidecar", sidecar))
 }
 
-// allReported reports whether every sidecar that may hold flows has reported.
+// allReported reports whether every sidecar that any source has listed has reported or does
+// not respond.
 func (n *balancerNode) allReported() bool {
 	now := n.clock.Now()
-	wait := reportWait
-	if n.directory.wasRead.Load() {
-		wait = reportWaitWithDirectory
-	}
-	return now-n.startedAt >= wait && len(n.sidecars.Awaited(now)) == 0
+	return now-n.startedAt >= settleTime && len(n.sidecars.Awaited(now)) == 0
+}
+
+// addDirectory adds the hosts that the directory lists. The first list is not stale.
+func (n *balancerNode) addDirectory(now clock.Millis, hosts platform.Hosts) {
+	n.members.DirectoryRead(now, hosts[platform.Sidecars])
+	n.addHosts(now, hosts)
 }
 
 // balancerCount returns the number of live balancers and of listed ones whose first message
@@ -266,6 +279,9 @@
 	}
 	n.logger.Info("store-regained")
 	n.directory.readSoon()
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.digests.startAnnouncingOutage(n.clock.Now())
 }
 
 // ready reports whether routers may send packets here. This always requires a
--- a/internal/flow/node/evacuation_test.go
+++ b/internal/flow/node/evacuation_test.go
@@ -40,7 +40,7 @@
 
 // directives returns the directives that were sent since the last call.
 func (r *digestRecorder) directives() (sent []relay.Directives) {
-	for _, m := range r.pending() {
+	for _, m := range r.take() {
 		if m.Kind == relay.KindDirectives {
 			sent = append(sent, m.Directives)
 		}
@@ -198,9 +198,9 @@
 	c.Assert(second.node.evacuations.Records(), qt.DeepEquals, evacuated(7))
 }
 
-// newSidecarRecorder returns a recorder whose messages come from a sidecar in the data centre
+// newEvacuatedSidecar returns a recorder whose messages come from a sidecar in the data centre
 // hope with a live balancer.
-func newSidecarRecorder(t *testing.T) (*digestRecorder, *sidecarNode) {
+func newEvacuatedSidecar(t *testing.T) (*digestRecorder, *sidecarNode) {
 	r, time := newEvacuationRecorder(t)
 	b := r.node.base
 	b.settings.DataCentre = "hope"
@@ -217,7 +217,7 @@
 // evacuation of its data centre, that does not tell balancers at once, that takes another
 // data centre for its own, or that is kept closed by an older record.
 func TestSidecarFollowsDirectives(t *testing.T) {
-	r, n := newSidecarRecorder(t)
+	r, n := newEvacuatedSidecar(t)
 	from := netip.MustParseAddr("127.2.0.1")
 	other := []evacuation.Record{{DataCentre: "surrey", Evacuated: true, Revision: store.Revision{Epoch: 2, Number: 3}}}
 	for _, step := range []struct {
@@ -237,7 +237,7 @@
 		r.c.Assert(n.machine.Accepting(), qt.Equals, !step.evacuated)
 		r.c.Assert(n.ready(), qt.IsTrue)
 		var reports, replies int
-		for _, m := range r.pending() {
+		for _, m := range r.take() {
 			switch m.Kind {
 			case relay.KindReport:
 				reports++
@@ -255,7 +255,7 @@
 // Guards against a warm-up rate of an older configuration, or of a sender without one, and
 // against a rate that does not reach the machine.
 func TestWarmupRateFollowsNewestVersion(t *testing.T) {
-	r, n := newSidecarRecorder(t)
+	r, n := newEvacuatedSidecar(t)
 	var rates []float64
 	n.setWarmup = func(rate float64, _ clock.Millis) { rates = append(rates, rate) }
 	for _, d := range []relay.Directives{{Version: 3, WarmupRate: 20}, {Version: 2, WarmupRate: 9}, {WarmupRate: 9}, {Version: 3, WarmupRate: 20}, {Version: 4}} {
--- a/internal/flow/node/node.go
+++ b/internal/flow/node/node.go
@@ -86,6 +86,10 @@
 	// the last directives to a host that needed some.
 	evacuations evacuation.Set
 	directedAt  map[netip.Addr]clock.Millis
+	// outages are the last outages of the store that were announced, and outageVerifiedAt is
+	// when the announcement of one last made this process verify its entry.
+	outages          []uint64
+	outageVerifiedAt clock.Millis
 	// storeRestored is called, with the mutex locked, when the store's epoch has risen.
 	storeRestored func()
 	// fieldBuffer holds the fields of the last log line about a flow. Its memory is
--- a/internal/flow/node/sidecar.go
+++ b/internal/flow/node/sidecar.go
@@ -4,11 +4,11 @@
 	"context"
 	"net"
 	"net/netip"
-	"slices"
 
 	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/internal/common/identity"
 	"github.com/orioledyke/orioledyke/internal/common/settings"
+	"github.com/orioledyke/orioledyke/internal/flow/absence"
 	"github.com/orioledyke/orioledyke/internal/flow/registration"
 	"github.com/orioledyke/orioledyke/internal/flow/relay"
 	"github.com/orioledyke/orioledyke/internal/flow/sidecar"
@@ -51,8 +51,11 @@
 	registration    *registration.Registration
 	outbound        *net.UDPConn
 	responseTimes   prometheus.Histogram
-	// siblingsByBalancer holds the sidecars of the service that each balancer has listed.
-	siblingsByBalancer    map[netip.Addr][]netip.Addr
+	roster          *absence.Roster
+	silence         silence
+	// rosterReceivers are the balancers that get the roster with the next report again,
+	// because a datagram may be lost.
+	rosterReceivers       []netip.Addr
 	incarnation           identity.OwnerID
 	lastContact           clock.Millis
 	lastReport            clock.Millis
@@ -91,13 +94,14 @@
 	}
 	defer b.close()
 	n := &sidecarNode{
-		base: b, sidecarSettings: s, incarnation: identity.NewOwnerID(), siblingsByBalancer: map[netip.Addr][]netip.Addr{},
+		base: b, sidecarSettings: s, incarnation: identity.NewOwnerID(), roster: absence.NewRoster(),
 		registration: registration.New(registration.Config{Address: s.UpstreamAddress, Service: s.Service}),
 	}
 	if n.outbound, err = listenUDP("outbound-address", s.OutboundAddress); err != nil {
 		return err
 	}
 	defer n.outbound.Close()
+	n.silence.lastHeard = b.startedAt
 	n.machine = sidecar.New(sidecar.Config{
 		Decode: platform.DecodeSegment, ClearReturned: platform.ClearReturned,
 		ToUpstream: func(packet []byte) { b.send(n.outbound, n.sidecarSettings.UpstreamAddress, packet) },
@@ -130,8 +134,10 @@
 		n.directory.restoreDrain(ctx)
 		n.mutex.Lock()
 		defer n.mutex.Unlock()
+		now := n.clock.Now()
 		n.drainRestored = true
-		n.applyRegistration(n.clock.Now())
+		n.applyRegistration(now)
+		n.sendRoster(n.balancers.Live(now))
 		return nil
 	})
 	if err := n.addSettings(n.applySettings); err != nil {
@@ -175,18 +181,30 @@
 	switch m.Kind {
 	default:
 		n.machine.HandleMessage(now, from, m)
+		n.reportFurtherAddress(now)
+		if m.Kind == relay.KindHint || m.Kind == relay.KindAbsent {
+			n.roster.Heard(now, from.Addr())
+		}
 	case relay.KindPing:
 		n.reportTo([]netip.Addr{from.Addr()})
+	case relay.KindReport:
+		n.handleSiblingReport(now, from.Addr(), m.Report)
 	case relay.KindEpoch:
 		n.handleEpoch(m.Epoch)
+		n.doubtDrains(now)
 	case relay.KindDirectives:
 		n.handleDirectives(now, from.Addr(), m.Directives)
+	case relay.KindVerify:
+		n.handleVerify(now, m.Outage)
 	case relay.KindDigest:
 		appeared := n.balancers.MarkSeen(now, from.Addr(), m.Digest.Interval)
 		n.requestedInterval = m.Digest.ReportInterval
+		n.silence.heard(now, m.Digest.Interval, len(n.balancers.Live(now)))
 		if appeared {
 			n.logger.Info("balancer-appeared", zap.Stringer("balancer", from))
 			n.reportTo([]netip.Addr{from.Addr()})
+			n.sendRoster([]netip.Addr{from.Addr()})
+			n.rosterReceivers = append(n.rosterReceivers, from.Addr())
 		}
 		n.addBalancers(now, platform.Hosts{platform.Balancers: m.Digest.Balancers})
 		n.updateSiblings(now, from.Addr(), m.Digest.Siblings)
@@ -196,7 +214,17 @@
 func (n *sidecarNode) handleOutbound(_ netip.AddrPort, packet []byte) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	n.machine.HandleUpstream(n.clock.Now(), packet)
+	now := n.clock.Now()
+	n.machine.HandleUpstream(now, packet)
+	n.reportFurtherAddress(now)
+}
+
+// reportFurtherAddress reports to the live balancers immediately if the upstream has got the
+// first flow to an address.
+func (n *sidecarNode) reportFurtherAddress(now clock.Millis) {
+	if n.machine.TakeAddressesChanged() {
+		n.reportTo(n.balancers.Live(now))
+	}
 }
 
 // heartbeat applies a heartbeat of the upstream. When it returns, the state is in
@@ -267,7 +295,7 @@
 	switch {
 	case n.stopping:
 		n.machine.Refuse(relay.ReasonStopping)
-	case !known || !n.drainRestored:
+	case !known || !n.drainRestored || n.registration.AwaitsSecond():
 		n.machine.Refuse(relay.ReasonUnregistered)
 	case !n.registration.Accepting():
 		n.machine.Refuse(relay.ReasonDraining)
@@ -294,28 +322,6 @@
 	n.reportTo(n.balancers.MarkListed(now, hosts[platform.Balancers]))
 }
 
-// updateSiblings records the sidecars of the service that a balancer lists. Balancers
-// may know different sidecars, so the lists of all sibling notifiers are combined.
-// Lists of balancers that are no longer live or no longer notifiers are dropped.
-func (n *sidecarNode) updateSiblings(now clock.Millis, from netip.Addr, hosts []netip.Addr) {
-	if len(hosts) == 0 {
-		return
-	}
-	n.siblingsByBalancer[from] = hosts
-	var siblings []netip.AddrPort
-	live := n.balancers.Live(now)
-	for balancer, hosts := range n.siblingsByBalancer {
-		if !slices.Contains(live, balancer) || !isNotifier(balancer, n.settings.RelayAddress.Addr(), live) {
-			delete(n.siblingsByBalancer, balancer)
-			continue
-		}
-		for _, host := range hosts {
-			siblings = append(siblings, netip.AddrPortFrom(host, n.settings.RelayAddress.Port()))
-		}
-	}
-	n.machine.SetSiblings(now, siblings)
-}
-
 // sendReports does the periodic work of the sidecar, and reports the state of the
 // upstream to the live balancers when their report interval has passed.
 func (n *sidecarNode) sendReports(context.Context) {
@@ -324,6 +330,10 @@
 	now := n.clock.Now()
 	n.machine.Tick(now)
 	n.logSpeedChange(now)
+	n.findBalancers(now)
+	n.probeSiblings(now)
+	n.sendRoster(n.rosterReceivers)
+	n.rosterReceivers = nil
 	if n.upstreamID != "" && now > n.learnUntil {
 		n.machine.SetLearning(false)
 	}
@@ -333,7 +343,7 @@
 	}
 	live := n.balancers.Live(now)
 	n.currentReportInterval = min(max(minReportInterval, reportIntervalPerBalancer*clock.Millis(len(live)), n.requestedInterval), maxReportInterval)
-	if n.machine.TakeAddressesChanged() || now-n.lastReport >= n.currentReportInterval {
+	if now-n.lastReport >= n.currentReportInterval {
 		n.lastReport = now
 		n.reportTo(live)
 	}
--- a/internal/flow/relay/message.go
+++ b/internal/flow/relay/message.go
@@ -54,6 +54,11 @@
 	KindEpoch
 	// KindDirectives carries the Directives that a process knows.
 	KindDirectives
+	// KindRoster carries the Roster of a sidecar to a balancer that has appeared.
+	KindRoster
+	// KindVerify announces that the metadata store works again after an outage, in which
+	// entries of hosts may have lapsed. It goes from balancers to all hosts.
+	KindVerify
 )
 
 // MaxMessage is the maximum length of a datagram in bytes.
@@ -163,9 +168,11 @@
 	Reason   Reason
 	Key      segment.Key
 	Load     Load
-	// Queried is the number of sidecars that a search has queried. It is set only in the
-	// KindAbsent message to a balancer.
-	Queried uint16
+	// Queried is the number of sidecars that a search has queried, and QueriedHosts are their
+	// hosts, at most MaxQueriedHosts. Both are set only in the KindAbsent message to a balancer.
+	// Older versions send no hosts.
+	Queried      uint16
+	QueriedHosts []netip.Addr
 	// Keys are the flows of a hint, at most MaxHintKeys.
 	Keys []segment.Key
 	// Sidecars are those that have not responded to a search, at most MaxUnanswered.
@@ -174,9 +181,12 @@
 	Packet []byte
 	Report Report
 	Digest Digest
+	Roster Roster
 	// Epoch is the epoch of the store that a KindEpoch message announces.
 	Epoch      store.Epoch
 	Directives Directives
+	// Outage is a random number that identifies the outage of a KindVerify message.
+	Outage uint64
 }
 
 const (
@@ -191,14 +201,17 @@
 	// goal is encoded as this one.
 	maxLatencyGoal = pastGoalBit - 1
 	// responseSize is the size of the messages without packet that concern one flow. They
-	// consist of the kind, reason, load, number of queried sidecars, and key.
+	// consist of the kind, reason, load, number of queried sidecars, and key. In KindAbsent, the
+	// hosts of the queried sidecars follow.
 	responseSize = 2 + 4 + 2 + segment.KeySize
-	// epochMessageSize is the size of an announcement, the kind and the epoch.
-	epochMessageSize = 1 + 8
+	// announcementSize is the size of an announcement, the kind and the epoch or outage.
+	announcementSize = 1 + 8
 	// MaxHintKeys is the maximum number of flows in one hint.
 	MaxHintKeys = 80
 	// MaxUnanswered is the maximum number of sidecars in a KindUnanswered message.
 	MaxUnanswered = 16
+	// MaxQueriedHosts is the maximum number of hosts in a KindAbsent message.
+	MaxQueriedHosts = (MaxMessage - responseSize) / hostSize
 )
 
 var errInvalidMessage = errors.New("relay: datagram is not a message of this protocol")
@@ -224,6 +237,8 @@
 		return append(b, byte(m.Kind)), nil
 	case KindEpoch:
 		return binary.BigEndian.AppendUint64(append(b, byte(m.Kind)), uint64(m.Epoch)), nil
+	case KindVerify:
+		return binary.BigEndian.AppendUint64(append(b, byte(m.Kind)), m.Outage), nil
 	case KindUnanswered:
 		b = m.Key.Append(append(b, byte(m.Kind)))
 		for _, sidecar := range m.Sidecars {
@@ -235,18 +250,48 @@
 		b = binary.BigEndian.AppendUint16(b, m.Load.Active)
 		b = binary.BigEndian.AppendUint16(b, m.Load.Flows)
 		b = binary.BigEndian.AppendUint16(b, m.Queried)
-		return m.Key.Append(b), nil
+		return m.appendQueriedHosts(m.Key.Append(b))
 	case KindReport:
 		return m.Report.append(b), nil
 	case KindDigest:
 		return m.Digest.append(b)
 	case KindDirectives:
 		return m.Directives.append(b)
+	case KindRoster:
+		return m.Roster.append(b)
 	default:
 		return b, errInvalidMessage
 	}
 }
 
+// appendQueriedHosts appends the hosts that only KindAbsent carries.
+func (m *Message) appendQueriedHosts(b []byte) ([]byte, error) {
+	if m.Kind != KindAbsent {
+		return b, nil
+	}
+	if len(m.QueriedHosts) > MaxQueriedHosts {
+		return b, errInvalidMessage
+	}
+	return appendHosts(b, m.QueriedHosts), nil
+}
+
+func appendHosts(b []byte, hosts []netip.Addr) []byte {
+	for _, host := range hosts {
+		octets := host.As4()
+		b = append(b, octets[:]...)
+	}
+	return b
+}
+
+// decodeHosts parses hosts of hostSize bytes each.
+func decodeHosts(data []byte) []netip.Addr {
+	var hosts []netip.Addr
+	for ; len(data) >= hostSize; data = data[hostSize:] {
+		hosts = append(hosts, netip.AddrFrom4([hostSize]byte(data)))
+	}
+	return hosts
+}
+
 // encodeGoal returns LatencyGoal and PastGoal as one encoded field.
 func (m *Message) encodeGoal() uint16 {
 	field := uint16(min(max(m.LatencyGoal, 0), maxLatencyGoal))
@@ -314,11 +359,17 @@
 	case KindPing:
 		return m, nil
 	case KindEpoch:
-		if len(data) != epochMessageSize {
+		if len(data) != announcementSize {
 			return Message{}, errInvalidMessage
 		}
 		m.Epoch = store.Epoch(binary.BigEndian.Uint64(data[1:]))
 		return m, nil
+	case KindVerify:
+		if len(data) != announcementSize {
+			return Message{}, errInvalidMessage
+		}
+		m.Outage = binary.BigEndian.Uint64(data[1:])
+		return m, nil
 	case KindUnanswered:
 		list := data[min(len(data), 1+segment.KeySize):]
 		if len(data) < 1+segment.KeySize || len(list)%addressSize != 0 || len(list) > MaxUnanswered*addressSize {
@@ -330,7 +381,8 @@
 		}
 		return m, nil
 	case KindAccepted, KindRefused, KindClaimed, KindAbsent:
-		if len(data) != responseSize {
+		hosts := data[min(len(data), responseSize):]
+		if len(data) < responseSize || (m.Kind != KindAbsent && len(hosts) > 0) || len(hosts)%hostSize != 0 {
 			return Message{}, errInvalidMessage
 		}
 		m.Reason = Reason(data[1])
@@ -338,6 +390,7 @@
 		m.Load.Flows = binary.BigEndian.Uint16(data[4:])
 		m.Queried = binary.BigEndian.Uint16(data[6:])
 		m.Key, _ = segment.DecodeKey(data[8:])
+		m.QueriedHosts = decodeHosts(hosts)
 		return m, nil
 	case KindReport:
 		var err error
@@ -351,6 +404,10 @@
 		var err error
 		m.Directives, err = decodeDirectives(data)
 		return m, err
+	case KindRoster:
+		var err error
+		m.Roster, err = decodeRoster(data)
+		return m, err
 	default:
 		return Message{}, errInvalidMessage
 	}
--- a/internal/flow/relay/message_test.go
+++ b/internal/flow/relay/message_test.go
@@ -26,9 +26,11 @@
 		{Kind: relay.KindForward, Service: service, LatencyGoal: 800, PastGoal: true, Packet: []byte{1}},
 		{Kind: relay.KindSearch, Service: service, Packet: []byte{1}},
 		{Kind: relay.KindHint, Keys: []segment.Key{key, key}},
-		{Kind: relay.KindAbsent, Key: key, Queried: 48},
+		{Kind: relay.KindAbsent, Key: key},
+		{Kind: relay.KindAbsent, Key: key, Queried: 2, QueriedHosts: []netip.Addr{netip.MustParseAddr("10.2.0.1"), netip.MustParseAddr("10.2.0.2")}},
 		{Kind: relay.KindPing},
 		{Kind: relay.KindEpoch, Epoch: 7},
+		{Kind: relay.KindVerify, Outage: 1 << 63},
 		{Kind: relay.KindUnanswered, Key: key, Sidecars: []netip.AddrPort{netip.MustParseAddrPort("10.2.0.1:7000")}},
 		{Kind: relay.KindNotHeld, Packet: []byte{4}},
 		{Kind: relay.KindRefused, Reason: relay.ReasonDraining, Key: key, Load: relay.Load{Active: 7, Flows: 300}},
@@ -52,6 +54,10 @@
 			Balancers: []netip.Addr{netip.MustParseAddr("10.1.0.1"), netip.MustParseAddr("10.1.0.2")},
 			Siblings:  []netip.Addr{netip.MustParseAddr("10.2.0.1")},
 		}},
+		{Kind: relay.KindRoster, Roster: relay.Roster{
+			Incarnation: 99, Age: 70_000, EntryFound: true, Complete: true, Hosts: []netip.Addr{netip.MustParseAddr("10.2.0.1")},
+		}},
+		{Kind: relay.KindRoster, Roster: relay.Roster{Age: 5, Complete: true}},
 	} {
 		data, err := m.Append(nil)
 		c.Assert(err, qt.IsNil)
@@ -64,11 +70,14 @@
 		c.Assert(decoded.Load, qt.Equals, m.Load)
 		c.Assert(decoded.Sidecars, qt.CmpEquals(cmpopts.EquateComparable(netip.AddrPort{})), m.Sidecars)
 		c.Assert(decoded.Queried, qt.Equals, m.Queried)
+		c.Assert(decoded.QueriedHosts, qt.CmpEquals(cmpopts.EquateComparable(netip.Addr{})), m.QueriedHosts)
 		c.Assert(decoded.LatencyGoal, qt.Equals, m.LatencyGoal)
 		c.Assert(decoded.PastGoal, qt.Equals, m.PastGoal)
 		c.Assert(decoded.Epoch, qt.Equals, m.Epoch)
 		c.Assert(decoded.Directives, qt.DeepEquals, m.Directives)
+		c.Assert(decoded.Outage, qt.Equals, m.Outage)
 		c.Assert(decoded.Report, qt.CmpEquals(cmpopts.EquateComparable(netip.AddrPort{})), m.Report)
+		c.Assert(decoded.Roster, qt.CmpEquals(cmpopts.EquateComparable(netip.Addr{})), m.Roster)
 		c.Assert(decoded.Digest, qt.CmpEquals(cmpopts.EquateComparable(netip.Addr{})), m.Digest)
 	}
 }
