absence: Take rosters for complete only after lists of 15 s

The entries of 5 and 7 have lapsed. All balancers are replaced at 35.9 s and find only 4 and 6 in the directory. The first digest of balancer 3 to sidecar 4 is lost; until the next one, at 36.4 s, the other new balancers have listed 4 and 6 to it. Its roster then counts as complete, and as that of an older process proves to balancer 3 that 4 and 6 are all sidecars of the service. The rule for disturbed hosts does not allow these resets: nothing had happened to the host of the flow for 20 s.

A roster is now complete only if a balancer has listed siblings for discoveryTime, after which a balancer knows all sidecars by the other rules. An incomplete roster still names its hosts, which the balancer waits for.

--- a/internal/flow/absence/members.go
+++ b/internal/flow/absence/members.go
@@ -13,7 +13,8 @@
 	// balancer writes its entry again, if it has lapsed, and contacts the listed balancers.
 	verifyTime = 3 * clock.Second
 	// discoveryTime is the time after the start in which every sidecar finds a balancer,
-	// also if the directory cannot be read. Sidecars read the directory every 10 to 13 s.
+	// also if the directory cannot be read. Sidecars read the directory every 10 to 13 s. It is
+	// also the time after which a sidecar takes the lists of a balancer for complete.
 	discoveryTime = 15 * clock.Second
 )
 
@@ -39,14 +40,14 @@
 	reported, entryFound bool
 	// listed is set if the directory listed the sidecar.
 	listed bool
-	// older is set if the process runs longer than the balancer and has sent its siblings.
+	// older is set if the process runs longer than the balancer and has sent all its siblings.
 	older bool
 }
 
 // service is what is known about a service as a whole. The counts make a decision as cheap in
 // a system with thousands of sidecars as in a small one.
 type service struct {
-	// older is set once a sidecar that runs longer than the balancer has sent its siblings.
+	// older is set once a sidecar that runs longer than the balancer has sent all its siblings.
 	older bool
 	// listed counts the sidecars that the directory listed and that have reported the service,
 	// and found those of them that have found their own entries.
--- a/internal/flow/absence/roster.go
+++ b/internal/flow/absence/roster.go
@@ -33,10 +33,17 @@
 // is not safe for concurrent use.
 type Roster struct {
 	siblings map[netip.Addr]*sibling
-	// lists holds the siblings that each balancer has listed last.
-	lists map[netip.Addr][]netip.Addr
-	// listed is set once a balancer has sent a list.
-	listed bool
+	// lists holds the list of each balancer.
+	lists map[netip.Addr]list
+	// complete is set once a balancer has listed siblings for discoveryTime.
+	complete bool
+}
+
+// list holds the siblings that a balancer has listed last. since is when its first list
+// arrived.
+type list struct {
+	hosts []netip.Addr
+	since clock.Millis
 }
 
 type sibling struct {
@@ -53,11 +60,13 @@
 
 // NewRoster returns an empty Roster.
 func NewRoster() *Roster {
-	return &Roster{siblings: map[netip.Addr]*sibling{}, lists: map[netip.Addr][]netip.Addr{}}
+	return &Roster{siblings: map[netip.Addr]*sibling{}, lists: map[netip.Addr]list{}}
 }
 
-// Listed reports whether a balancer has sent a list to this process.
-func (r *Roster) Listed() bool { return r.listed }
+// Complete reports whether the siblings include all that a balancer lists which knows all of
+// them. A balancer that has just started lists those that it has found so far, so that lists
+// count after discoveryTime.
+func (r *Roster) Complete() bool { return r.complete }
 
 // Heard records a message of a sibling.
 func (r *Roster) Heard(now clock.Millis, host netip.Addr) {
@@ -74,12 +83,16 @@
 	if !current(balancer) {
 		return
 	}
-	for _, host := range r.lists[balancer] {
+	before, continued := r.lists[balancer]
+	if !continued {
+		before.since = now
+	}
+	for _, host := range before.hosts {
 		if known := r.siblings[host]; known != nil {
 			known.dropped = true
 		}
 	}
-	r.lists[balancer], r.listed = hosts, true
+	r.lists[balancer] = list{hosts: hosts, since: before.since}
 	for _, host := range hosts {
 		r.add(now, host).dropped = false
 	}
@@ -99,10 +112,11 @@
 // removes siblings without recent evidence and those that have not responded. current
 // reports whether the list of a balancer still counts.
 func (r *Roster) Probes(now clock.Millis, current func(netip.Addr) bool) []netip.Addr {
-	maps.DeleteFunc(r.lists, func(balancer netip.Addr, _ []netip.Addr) bool { return !current(balancer) })
+	maps.DeleteFunc(r.lists, func(balancer netip.Addr, _ list) bool { return !current(balancer) })
 	listed := map[netip.Addr]bool{}
-	for _, hosts := range r.lists {
-		for _, host := range hosts {
+	for _, l := range r.lists {
+		r.complete = r.complete || now-l.since >= discoveryTime
+		for _, host := range l.hosts {
 			listed[host] = true
 		}
 	}
--- a/internal/flow/absence/roster_test.go
+++ b/internal/flow/absence/roster_test.go
@@ -33,7 +33,29 @@
 		r.Replace(now, otherFront, siblings[:1], replaced)
 	}
 	c.Assert(r.Hosts(), equalsHosts, siblings)
-	c.Assert(r.Listed(), qt.IsTrue)
+}
+
+// Guards against a reset by a balancer that replaces others, because a sidecar passes on what
+// balancers that have started at the same time have found so far. The sidecar has started
+// after the earlier balancers had ended, or could not find them.
+func TestRosterOfNewBalancersIsIncomplete(t *testing.T) {
+	c := qt.New(t)
+	r := absence.NewRoster()
+	siblings := []netip.Addr{x.Addr()}
+	for now := clock.Millis(0); now < 10*clock.Second; now += 200 {
+		r.Replace(now, front, siblings, allCurrent)
+		r.Probes(now, allCurrent)
+	}
+	replaced := func(balancer netip.Addr) bool { return balancer == otherFront }
+	for now := 10 * clock.Second; now < 25*clock.Second; now += 200 {
+		r.Probes(now, replaced)
+		r.Replace(now, otherFront, siblings, replaced)
+		c.Assert(r.Complete(), qt.IsFalse)
+	}
+	r.Probes(25*clock.Second, replaced)
+	c.Assert(r.Complete(), qt.IsTrue)
+	r.Probes(26*clock.Second, noneCurrent)
+	c.Assert(r.Complete(), qt.IsTrue)
 }
 
 // Guards against a balancer that starts anew at its address and whose first list makes
--- a/internal/flow/node/roster.go
+++ b/internal/flow/node/roster.go
@@ -79,8 +79,8 @@
 			Incarnation: n.incarnation, Age: n.clock.Now() - n.startedAt, EntryFound: n.directory.foundEntry(),
 		}}
 		names := isAmongHighest(n.settings.RelayAddress.Addr(), balancer, hosts, rosterSenders)
-		if names && n.roster.Listed() && len(hosts) <= relay.MaxRosterHosts {
-			m.Roster.Complete, m.Roster.Hosts = true, hosts
+		if names && len(hosts) <= relay.MaxRosterHosts {
+			m.Roster.Complete, m.Roster.Hosts = n.roster.Complete(), hosts
 		}
 		data, err := m.Append(nil)
 		if err != nil {
--- a/internal/flow/node/roster_test.go
+++ b/internal/flow/node/roster_test.go
@@ -43,7 +43,11 @@
 	r.c.Assert(first, qt.HasLen, 1)
 	r.c.Assert(first[0].Roster.Complete, qt.IsFalse)
 
-	r.now.Advance(4 * clock.Second)
+	for range 16 {
+		r.now.Advance(clock.Second)
+		r.handle(front, relay.Message{Kind: relay.KindDigest, Digest: relay.Digest{Siblings: siblings}})
+	}
+	r.c.Assert(r.takeKind(relay.KindRoster), qt.HasLen, 0)
 	r.node.startedAt = 0
 	r.handle(later, relay.Message{Kind: relay.KindDigest, Digest: relay.Digest{Siblings: siblings[:1]}})
 	r.c.Assert(r.node.machine.Siblings(), qt.Equals, 2)
@@ -51,12 +55,27 @@
 	r.c.Assert(roster, qt.HasLen, 1)
 	r.c.Assert(roster[0].Roster.Complete, qt.IsTrue)
 	r.c.Assert(fmt.Sprint(roster[0].Roster.Hosts), qt.Equals, fmt.Sprint(siblings))
-	r.c.Assert(roster[0].Roster.Age, qt.Equals, 4*clock.Second)
+	r.c.Assert(roster[0].Roster.Age, qt.Equals, 16*clock.Second)
 
 	r.handle(siblings[1], relay.Message{Kind: relay.KindReport, Report: relay.Report{Service: platform.ServiceID("archive")}})
 	r.c.Assert(r.node.machine.Siblings(), qt.Equals, 1)
 }
 
+// Guards against a sidecar that passes on the list of a balancer which has started at the same
+// time as the receiver as if it were complete. It names what it knows.
+func TestRosterOfNewBalancerIsIncomplete(t *testing.T) {
+	r := newSidecarRecorder(t)
+	siblings := []netip.Addr{netip.MustParseAddr("127.2.0.2")}
+	r.handle(netip.MustParseAddr("127.1.0.1"), relay.Message{Kind: relay.KindDigest, Digest: relay.Digest{Siblings: siblings}})
+	r.takeKind(relay.KindRoster)
+	r.now.Advance(500)
+	r.handle(netip.MustParseAddr("127.1.0.2"), relay.Message{Kind: relay.KindDigest, Digest: relay.Digest{Siblings: siblings}})
+	roster := r.takeKind(relay.KindRoster)
+	r.c.Assert(roster, qt.HasLen, 1)
+	r.c.Assert(roster[0].Roster.Complete, qt.IsFalse)
+	r.c.Assert(fmt.Sprint(roster[0].Roster.Hosts), qt.Equals, fmt.Sprint(siblings))
+}
+
 // Guards against a balancer that takes its directory for complete although a sidecar names a
 // host that the directory lacks.
 func TestRosterHostsAreAwaited(t *testing.T) {
--- a/internal/flow/relay/roster.go
+++ b/internal/flow/relay/roster.go
@@ -27,8 +27,8 @@
 	// EntryFound is set if the sidecar's own entry was in the directory when the process
 	// started.
 	EntryFound bool
-	// Complete is set if a balancer has listed the sidecars of the service to this process,
-	// and Hosts contains all of them that may still run.
+	// Complete is set if a balancer that knows all sidecars of the service has listed them to
+	// this process, and Hosts contains all of them that may still run.
 	Complete bool
 	// Hosts are hosts of sidecars of the service without the sender, at most MaxRosterHosts.
 	Hosts []netip.Addr
--- a/internal/standin/fleet/discovery.go
+++ b/internal/standin/fleet/discovery.go
@@ -125,7 +125,7 @@
 	u.rostersSent[b] = b.incarnation
 	m := relay.Message{Kind: relay.KindRoster, Roster: relay.Roster{
 		Age: u.cluster.now - u.sidecarStartedAt, EntryFound: u.keeper != nil && u.keeper.found,
-		Complete: u.roster.Listed() || u.cluster.config.Mutant == SiblingsForgotten, Hosts: u.roster.Hosts(),
+		Complete: u.roster.Complete() || u.cluster.config.Mutant == SiblingsForgotten, Hosts: u.roster.Hosts(),
 	}}
 	u.sendToBalancer(b, m)
 }
