--- a/internal/flow/sidecar/sidecar.go
+++ b/internal/flow/sidecar/sidecar.go
@@ -6,9 +6,7 @@
 package sidecar
 
 import (
-	"maps"
 	"net/netip"
-	"slices"
 
 	"github.com/orioledyke/orioledyke/internal/common/clock"
 	"github.com/orioledyke/orioledyke/internal/common/identity"
@@ -162,10 +160,11 @@
 	// because the process started after the upstream or has dropped its flows.
 	learning bool
 	flows    map[segment.Key]*flow
-	// addresses counts the flows to each address.
-	addresses map[netip.AddrPort]int
-	// addressesChanged is set when an address has been added to addresses, or a learned
-	// one may have been, since the last call of TakeAddressesChanged.
+	// addresses holds the flows to each address. An address stays for addressTTL after the
+	// last flow.
+	addresses map[netip.AddrPort]*addressFlows
+	// addressesChanged is set when an address has been added to addresses since the last call
+	// of TakeAddressesChanged.
 	addressesChanged bool
 	flowCount        int
 	search           search
@@ -207,7 +206,7 @@
 	}
 	return &Sidecar{
 		config: config, refusalReason: relay.ReasonUnregistered, flows: map[segment.Key]*flow{},
-		addresses: map[netip.AddrPort]int{}, search: newSearch(),
+		addresses: map[netip.AddrPort]*addressFlows{}, search: newSearch(),
 	}
 }
 
@@ -243,28 +242,13 @@
 // also sets learning. Until SetLearning clears it, the upstream itself decides which
 // flows it holds.
 func (s *Sidecar) DropFlows() {
-	s.flows, s.addresses = map[segment.Key]*flow{}, map[netip.AddrPort]int{}
+	s.flows, s.addresses = map[segment.Key]*flow{}, map[netip.AddrPort]*addressFlows{}
 	s.flowCount, s.offers = 0, nil
 	s.capacity.reset()
 	s.work.Reset()
 	s.learning = true
 }
 
-// Addresses returns the addresses of routes to which the upstream holds flows, in order,
-// and whether these are all of them. They are not while the sidecar learns flows.
-func (s *Sidecar) Addresses() (addresses []netip.AddrPort, all bool) {
-	return slices.SortedFunc(maps.Keys(s.addresses), netip.AddrPort.Compare), !s.learning
-}
-
-// TakeAddressesChanged reports whether flows to a further address were added since the
-// last call. Balancers must learn of such an address soon, because a new configuration may
-// remove this service from the targets of the route.
-func (s *Sidecar) TakeAddressesChanged() bool {
-	changed := s.addressesChanged
-	s.addressesChanged = false
-	return changed
-}
-
 // Count returns how often an outcome has occurred.
 func (s *Sidecar) Count(o Outcome) uint64 { return s.counts[o] }
 
@@ -449,9 +433,7 @@
 	f := &flow{state: state, firstSeen: now, lastSeen: now}
 	s.flows[key] = f
 	s.flowCount++
-	address := key.Service()
-	s.addressesChanged = s.addressesChanged || s.addresses[address] == 0
-	s.addresses[address]++
+	s.addAddress(key.Service())
 	return f
 }
 
@@ -460,9 +442,7 @@
 		return
 	}
 	delete(s.flows, key)
-	if s.addresses[key.Service()]--; s.addresses[key.Service()] <= 0 {
-		delete(s.addresses, key.Service())
-	}
+	s.removeAddress(key.Service(), f)
 	s.capacity.stopExpecting(f)
 	f.offerSettled = true
 	s.flowCount--
@@ -484,6 +464,7 @@
 		return
 	}
 	s.lastSweep = now
+	s.expireAddresses(now)
 	s.search.expire(now, func(key segment.Key, p *pendingSearch) {
 		s.record(Event{Outcome: OutcomeUnanswered, Key: key, Balancer: p.requester, Sibling: p.awaited[0], Load: s.Load()})
 	})
--- a/internal/standin/fleet/balancer.go
+++ b/internal/standin/fleet/balancer.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/flow/absence"
 	"github.com/orioledyke/orioledyke/internal/flow/balancer"
 	"github.com/orioledyke/orioledyke/internal/flow/relay"
 	"github.com/orioledyke/orioledyke/internal/flow/route"
@@ -46,6 +47,12 @@
 	reportsLostUntil map[int]clock.Millis
 	// heardFrom holds the sidecars from which this incarnation has received a report.
 	heardFrom map[netip.AddrPort]bool
+	// members is the evidence of this incarnation that it knows all sidecars. With
+	// Config.Store, listed holds the sidecars that any source has listed to it, and since when.
+	members *absence.Members
+	listed  map[netip.AddrPort]clock.Millis
+	// replacements counts the changes of the host's address.
+	replacements int
 	// client calls the store, learner learns of configurations, and keeper keeps the entry
 	// of the host; nil without Config.Store.
 	client  *storeClient
@@ -58,8 +65,8 @@
 func newBalancerHost(c *Cluster, index int) *balancerHost {
 	b := &balancerHost{
 		cluster: c, index: index, reportsLostUntil: map[int]clock.Millis{},
-		relayAddress: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(index + 1)}), relayPort),
 	}
+	b.relayAddress = b.address()
 	if c.config.Remote != nil {
 		b.failedProbes = maxFailedProbes
 		return b
@@ -69,9 +76,25 @@
 	return b
 }
 
+// address returns the address of the host. Hosts that replace others have other addresses.
+func (b *balancerHost) address() netip.AddrPort {
+	ip := netip.AddrFrom4([4]byte{10, 1, byte(b.index>>8 + 8*b.replacements), byte(b.index)})
+	return netip.AddrPortFrom(ip, relayPort)
+}
+
+// seedAddress returns the address of the first host, which the settings of sidecars name.
+func (b *balancerHost) seedAddress() netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(b.index >> 8), byte(b.index)}), relayPort)
+}
+
 // start begins an incarnation without any state.
 func (b *balancerHost) start() {
 	b.incarnation++
+	b.relayAddress = b.address()
+	b.listed = map[netip.AddrPort]clock.Millis{}
+	if b.members = absence.NewMembers(b.cluster.now); b.cluster.config.Mutant == DirectoryTrusted {
+		b.members = nil
+	}
 	b.up, b.draining, b.startedAt = true, false, b.cluster.now
 	b.heardFrom = map[netip.AddrPort]bool{}
 	b.logic = balancer.New(balancer.Config{
@@ -82,10 +105,14 @@
 		ToClient:    b.toClient,
 		Random:      b.cluster.random.IntN,
 		AllReported: b.allReported,
+		Behind:      b.behind,
+		Members:     b.members,
 	})
 	if b.cluster.store != nil {
 		b.startLearning()
+		b.startDiscovery()
 	} else {
+		b.members.DirectoryRead(b.cluster.now, b.cluster.sidecarHosts())
 		b.cluster.after(clock.Millis(5+b.cluster.random.IntN(200)), b.configure(b.incarnation))
 	}
 	b.tick(b.incarnation)
@@ -129,6 +156,9 @@
 	if b.cluster.now-b.startedAt < settleTime {
 		return false
 	}
+	if b.cluster.store != nil {
+		return b.listedReported()
+	}
 	for _, u := range b.cluster.upstreams {
 		if !u.removed && !b.heardFrom[u.relayAddress] {
 			return false
@@ -137,6 +167,24 @@
 	return true
 }
 
+// behind reports whether another balancer has a newer configuration. Without Config.Store,
+// balancers do not exchange digests, and know at once.
+func (b *balancerHost) behind() bool {
+	if b.cluster.config.Mutant == BehindIgnored {
+		return false
+	}
+	var peers []netip.Addr
+	for _, other := range b.cluster.balancers {
+		if other != b && other.up && other.logic.Table().Version() > b.logic.Table().Version() && b.learner == nil {
+			return true
+		}
+		if other.up {
+			peers = append(peers, other.relayAddress.Addr())
+		}
+	}
+	return b.learner != nil && b.learner.peers.BehindAny(peers)
+}
+
 func (b *balancerHost) tick(incarnation int) {
 	if !b.up || b.incarnation != incarnation {
 		return
@@ -201,13 +249,14 @@
 			if b.cluster.config.Mutant == ServiceUnchecked {
 				m.Service = platform.ServiceID(serviceName(u.service))
 			}
+			from := b.relayAddress
 			u.receive(func() {
-				u.lastBalancer = b
+				u.currentBalancer = b
 				if m.Kind == relay.KindPing {
 					u.report(b)
 					return
 				}
-				u.logic.HandleMessage(b.cluster.now, b.relayAddress, m)
+				u.handleMessage(from, m)
 			})
 		}
 	}
@@ -221,23 +270,37 @@
 	if slices.ContainsFunc(r.Targets, func(t route.Target) bool { return t.Service == m.Service }) {
 		return false
 	}
-	absent := relay.Message{Kind: relay.KindAbsent, Key: flowKey(h.from, h.to), Queried: uint16(len(b.cluster.upstreams))}
+	absent := relay.Message{Kind: relay.KindAbsent, Key: flowKey(h.from, h.to), QueriedHosts: b.cluster.sidecarHosts()}
 	b.receive(func() { b.logic.HandleSidecar(b.cluster.now, to, absent) })
 	return true
 }
 
+// sidecarHosts returns the hosts of all sidecars.
+func (c *Cluster) sidecarHosts() []netip.Addr {
+	var hosts []netip.Addr
+	for _, u := range c.upstreams {
+		hosts = append(hosts, u.relayAddress.Addr())
+	}
+	return hosts
+}
+
 // KillBalancer kills a balancer without notice and restarts it after the downtime.
 func (c *Cluster) KillBalancer(index int, down clock.Millis) {
 	b := c.balancers[index]
 	if !b.up {
 		return
 	}
+	b.end()
+	c.after(down, b.start)
+}
+
+// end ends the process without notice.
+func (b *balancerHost) end() {
 	b.up, b.pausedUntil = false, 0
 	if b.learner != nil {
 		b.learner.stopFollower()
 		b.learner = nil
 	}
-	c.after(down, b.start)
 }
 
 // whenRunning calls run now, or at the end of the pause of a process.
--- a/internal/standin/fleet/cluster.go
+++ b/internal/standin/fleet/cluster.go
@@ -129,6 +129,19 @@
 	return all
 }
 
+// Mutants that only show in runs of their own.
+const (
+	// BehindIgnored makes a balancer take a flow for lost although another balancer has a
+	// newer configuration.
+	BehindIgnored Mutant = iota + evacuationMutantEnd + 1
+	// DirectoryTrusted makes a balancer take the sidecars that the directory lists for all of
+	// them. Sidecars name no siblings.
+	DirectoryTrusted
+	// SiblingsForgotten makes sidecars know only the siblings that live balancers list, and
+	// send these as a complete roster.
+	SiblingsForgotten
+)
+
 // StoreMutants returns the mutants that need Config.Store.
 func StoreMutants() []Mutant {
 	var all []Mutant
--- a/internal/standin/fleet/upstream.go
+++ b/internal/standin/fleet/upstream.go
@@ -5,6 +5,7 @@
 	"net/netip"
 
 	"github.com/orioledyke/orioledyke/internal/common/clock"
+	"github.com/orioledyke/orioledyke/internal/flow/absence"
 	"github.com/orioledyke/orioledyke/internal/flow/evacuation"
 	"github.com/orioledyke/orioledyke/internal/flow/registration"
 	"github.com/orioledyke/orioledyke/internal/flow/relay"
@@ -65,8 +66,15 @@
 	drainRestored bool
 	// evacuations holds what the sidecar knows of evacuated data centres.
 	evacuations evacuation.Set
-	// lastBalancer is the balancer whose message the sidecar has handled last.
-	lastBalancer *balancerHost
+	// currentBalancer is the balancer whose message the sidecar has handled last.
+	currentBalancer *balancerHost
+	// balancers are the addresses of balancers that the sidecar knows, and lastBalancer is
+	// when one of them last ran. rostersSent holds the incarnation of each balancer that has
+	// got the roster.
+	balancers    map[netip.AddrPort]bool
+	lastBalancer clock.Millis
+	rostersSent  map[*balancerHost]int
+	roster       *absence.Roster
 	// timeline holds what the sidecar has learned and done lately.
 	timeline timeline
 
@@ -132,11 +140,16 @@
 	u.registration.RestoreDrain(u.storedDrainStart)
 	u.drainRestored = u.cluster.store == nil
 	u.evacuations = evacuation.Set{}
+	u.roster, u.rostersSent, u.lastBalancer = absence.NewRoster(), map[*balancerHost]int{}, u.cluster.now
+	u.balancers = map[netip.AddrPort]bool{}
+	for _, b := range u.cluster.balancers {
+		u.balancers[b.seedAddress()] = true
+	}
 	u.logic = sidecar.New(sidecar.Config{
 		Decode: platform.DecodeSegment, ClearReturned: platform.ClearReturned,
 		ToUpstream: func(packet []byte) {
 			if u.upstreamUp {
-				h, raw, from := decode(packet), append([]byte(nil), packet...), u.lastBalancer
+				h, raw, from := decode(packet), append([]byte(nil), packet...), u.currentBalancer
 				u.cluster.after(0, func() { u.handle(h, raw, from) })
 			}
 		},
@@ -181,12 +194,11 @@
 	case m.Kind == relay.KindAccepted && u.cluster.config.Mutant == AcceptedAsRefused:
 		m.Kind = relay.KindRefused
 	case m.Kind == relay.KindAbsent && u.cluster.config.Mutant == AbsenceAssumed:
-		m.Queried = uint16(len(u.cluster.upstreams))
-		to = u.cluster.balancers[u.cluster.random.IntN(len(u.cluster.balancers))].relayAddress
+		m.QueriedHosts = u.cluster.sidecarHosts()
 	}
 	for _, sibling := range u.cluster.upstreams {
 		if sibling.relayAddress == to {
-			sibling.receive(func() { sibling.logic.HandleMessage(u.cluster.now, u.relayAddress, m) })
+			sibling.receive(func() { sibling.handleMessage(u.relayAddress, m) })
 		}
 	}
 	for _, b := range u.cluster.balancers {
@@ -196,19 +208,42 @@
 	}
 }
 
+// handleMessage handles a message of another sidecar. With the mutant AbsenceAssumed, the
+// response of one sidecar to a search counts as that of all.
+func (u *upstreamHost) handleMessage(from netip.AddrPort, m relay.Message) {
+	u.logic.HandleMessage(u.cluster.now, from, m)
+	u.reportFurtherAddress()
+	if m.Kind == relay.KindAbsent && u.cluster.config.Mutant == AbsenceAssumed {
+		for _, other := range u.cluster.upstreams {
+			u.logic.HandleMessage(u.cluster.now, other.relayAddress, m)
+		}
+	}
+}
+
 func (u *upstreamHost) sendToBalancer(b *balancerHost, m relay.Message) {
 	b.receive(func() {
 		if m.Kind == relay.KindReport && !b.heardFrom[u.relayAddress] {
 			b.greetSidecar(u)
 		}
-		if m.Kind == relay.KindReport {
+		switch m.Kind {
+		case relay.KindReport:
 			b.heardFrom[u.relayAddress] = true
+		case relay.KindRoster:
+			b.addListed(m.Roster.Hosts)
 		}
 		b.logic.HandleSidecar(u.cluster.now, u.relayAddress, m)
 		b.compareEvacuations(u, m)
 	})
 }
 
+// reportFurtherAddress reports immediately that the upstream has got the first flow to an
+// address.
+func (u *upstreamHost) reportFurtherAddress() {
+	if u.logic.TakeAddressesChanged() {
+		u.report(u.cluster.balancers...)
+	}
+}
+
 // applyMisdelivery returns a packet for a client unchanged. With the mutant
 // ResponsesMisdelivered, it readdresses a response to another open flow, the one with the
 // lowest client address.
@@ -241,6 +276,7 @@
 		return
 	}
 	u.logic.Tick(u.cluster.now)
+	u.findBalancers()
 	u.updateSiblings()
 	if u.servedStart != 0 && u.cluster.now > u.learningUntil {
 		u.logic.SetLearning(false)
@@ -253,8 +289,9 @@
 func (u *upstreamHost) report(balancers ...*balancerHost) {
 	m := u.currentReport()
 	for _, b := range balancers {
-		if u.cluster.now >= b.reportsLostUntil[u.index] {
+		if u.knows(b) && u.cluster.now >= b.reportsLostUntil[u.index] {
 			u.sendToBalancer(b, m)
+			u.sendRoster(b)
 		}
 	}
 }
@@ -283,18 +320,15 @@
 	return m
 }
 
-// updateSiblings gives the sidecar the sidecars of its service that balancers list. In the
-// real system, balancers send these lists.
+// updateSiblings lets searches query the siblings in the roster.
 func (u *upstreamHost) updateSiblings() {
+	if u.cluster.config.Mutant == SiblingsForgotten {
+		u.roster = absence.NewRoster()
+	}
+	u.updateRoster()
 	var siblings []netip.AddrPort
-	for _, b := range u.cluster.balancers {
-		if !b.up {
-			continue
-		}
-		hosts, _ := b.logic.ServiceHosts(u.relayAddress)
-		for _, host := range hosts {
-			siblings = append(siblings, netip.AddrPortFrom(host, relayPort))
-		}
+	for _, host := range u.roster.Hosts() {
+		siblings = append(siblings, netip.AddrPortFrom(host, relayPort))
 	}
 	u.logic.SetSiblings(u.cluster.now, siblings)
 }
@@ -359,7 +393,7 @@
 	default:
 		u.storedDrainStart = h.StartedAt
 	}
-	if h.StartedAt == u.startedAt && u.drainAcknowledgedAt == 0 {
+	if u.draining && h.StartedAt == u.startedAt && u.drainAcknowledgedAt == 0 {
 		u.drainAcknowledgedAt = u.cluster.now
 	}
 }
@@ -493,6 +527,7 @@
 		u.whenRunning(func() {
 			if u.sidecarUp && u.sidecarIncarnation == incarnation {
 				u.logic.HandleUpstream(u.cluster.now, raw)
+				u.reportFurtherAddress()
 			}
 		})
 	})
