fleet: Let unnoticed restores lose a change that watches know

TestStoreMutants no longer caught EpochIgnored. The mutant still breaks the mechanism: the Follower continues a watch across a restore, and misses what the new history has before its revision, for the configuration as for the evacuations.

The scenario that is to show the mutant, restoreUnnoticed, never did. The configuration that the operator writes again also came after the revision of the watches, which delivered it.

restoreUnnoticed now changes the configuration after the copy, so that all watches continue from a lost revision, and both configurations that follow the restore come before that revision.

--- a/internal/standin/fleet/store_test.go
+++ b/internal/standin/fleet/store_test.go
@@ -45,13 +45,20 @@
 	}
 }
 
-// restoreUnnoticed restores the store so that no call fails, and lets its new history pass
-// the old revisions at once, with one version of the configuration on the way.
+// restoreUnnoticed restores the store so that no call fails. All watches continue from a
+// change that the copy lacks. The new history passes the revision of that change at once, and
+// has the next configuration before it, so that only the epoch shows that a change is missed.
 func restoreUnnoticed(cluster *fleet.Cluster) {
 	cluster.SetStoreFault(fleet.StoreWorks, false)
 	cluster.Advance(3 * clock.Second)
-	cluster.RestoreStore(cluster.RandomInt(3), 0)
+	// The operator writes two configurations after the restore: the current and the next one.
+	for range 3 {
+		cluster.Reconfigure()
+		cluster.Advance(100)
+	}
+	cluster.RestoreStore(1+cluster.RandomInt(2), 0)
 	cluster.Reconfigure()
+	cluster.Advance(0)
 	cluster.WriteOtherKeys(150)
 	cluster.Advance(9 * clock.Second)
 }
@@ -142,9 +149,7 @@
 				if mutant == fleet.EpochIgnored {
 					// It only shows if no call fails across a restore, which the random faults
 					// seldom leave.
-					for range 6 {
-						restoreUnnoticed(cluster)
-					}
+					restoreUnnoticed(cluster)
 				}
 				caught += len(cluster.Violations())
 			}
