admission: Limit offers only when most are refused, and not at a start

After a loss of power, balancers limited their offers to the few acceptances of the first moments, and the queue of clients waited although slots were idle.

--- a/internal/flow/admission/admission.go
+++ b/internal/flow/admission/admission.go
@@ -16,8 +16,9 @@
 	maxRequestsPerSlot = 4
 	// lessUrgentShare is the share of the queue of an upstream that flows may fill for
 	// which a more urgent priority exists in the service. The rest keeps the wait of urgent
-	// flows short, without an agreement between balancers.
-	lessUrgentShare = 0.5
+	// flows short, without an agreement between balancers. With half of the queue, slots
+	// stood idle between reports while less urgent flows waited.
+	lessUrgentShare = 0.85
 )
 
 // Flow is a new flow that no upstream has accepted yet.
--- a/internal/flow/admission/pace.go
+++ b/internal/flow/admission/pace.go
@@ -16,7 +16,7 @@
 	// refusalWeight is the weight of an offer in the share of refused offers. The rate of
 	// offers is limited from maxRefusedShare on until the share is below minRefusedShare.
 	refusalWeight   = 1. / 16
-	maxRefusedShare = 0.2
+	maxRefusedShare = 0.8
 	minRefusedShare = 0.02
 	// minRate is the lowest rate of offers per millisecond. At 500 balancers, all of them
 	// together then offer 2,500 flows a second to a service without a report of room.
--- a/internal/flow/balancer/pendingflow.go
+++ b/internal/flow/balancer/pendingflow.go
@@ -297,7 +297,9 @@
 		return
 	}
 	p.outstanding--
-	if sc := b.sidecars[from]; sc != nil && m.Reason == relay.ReasonBusy {
+	if sc := b.sidecars[from]; sc != nil && m.Reason == relay.ReasonBusy && !b.config.Starting() {
+		// After a start of all hosts, sidecars refuse often until they have learned the work of
+		// their upstreams. A limited rate would then keep the queue of that time waiting.
 		p.queue.queue.Refused(now, p.pastGoal(now))
 	}
 	if sc := b.sidecars[from]; sc != nil && b.allowRetry(now, sc, p, m.Reason) {
