absence: Leave departed sidecars out of the proof

After a loss of power, a host without an upstream says that its entry was not there at its start, because it has removed the entry itself.

--- a/internal/flow/absence/members.go
+++ b/internal/flow/absence/members.go
@@ -78,6 +78,14 @@
 	}
 }
 
+// Departed records that a sidecar has no upstream, and so owns no flow. It removes its entry
+// itself, so that one that was not there at its start is no sign that entries have lapsed.
+func (m *Members) Departed(host netip.Addr) {
+	if m != nil {
+		m.change(host, func(known *member) { known.reported = false })
+	}
+}
+
 // Stated records the roster of a sidecar. The caller adds its hosts to those that must
 // report.
 func (m *Members) Stated(now clock.Millis, host netip.Addr, r relay.Roster) {
--- a/internal/flow/absence/members_test.go
+++ b/internal/flow/absence/members_test.go
@@ -29,6 +29,25 @@
 	c.Assert(m.Complete(started+3100, portal), qt.IsTrue)
 }
 
+// Guards against clients that wait for 3 s after all hosts have lost power, because the entry
+// of a host without an upstream, which has removed it itself, was not there at the start.
+func TestDepartedSidecarIsNoSignOfLapse(t *testing.T) {
+	c := qt.New(t)
+	m := absence.NewMembers(started)
+	m.DirectoryRead(started+10, []netip.Addr{x.Addr(), y.Addr()})
+	for _, sidecar := range []netip.Addr{x.Addr(), y.Addr()} {
+		m.Reported(sidecar, portal)
+		m.Stated(started+20, sidecar, relay.Roster{EntryFound: sidecar == x.Addr()})
+	}
+	c.Assert(m.Complete(started+500, portal), qt.IsFalse)
+	m.Departed(y.Addr())
+	c.Assert(m.Complete(started+500, portal), qt.IsTrue)
+	m.Departed(x.Addr())
+	c.Assert(m.Complete(started+500, portal), qt.IsFalse)
+	m.Reported(y.Addr(), portal)
+	c.Assert(m.Complete(started+500, portal), qt.IsFalse)
+}
+
 // Guards against clients that wait although a sidecar that has seen the earlier balancers has
 // named its siblings.
 func TestRosterOfOlderSidecarProves(t *testing.T) {
--- a/internal/flow/balancer/balancer.go
+++ b/internal/flow/balancer/balancer.go
@@ -385,7 +385,11 @@
 	b.now, b.lastSidecarMessage = now, now
 	switch m.Kind {
 	case relay.KindReport:
-		b.config.Members.Reported(from.Addr(), m.Report.Service)
+		if m.Report.Departed {
+			b.config.Members.Departed(from.Addr())
+		} else {
+			b.config.Members.Reported(from.Addr(), m.Report.Service)
+		}
 		b.applyReport(now, from, m.Report)
 	case relay.KindRoster:
 		b.config.Members.Stated(now, from.Addr(), m.Roster)
