--- a/internal/flow/balancer/selection.go
+++ b/internal/flow/balancer/selection.go
@@ -20,12 +20,12 @@
 )
 
 // selectSidecar selects a sidecar for a new flow among the usable ones that were not
-// attempted yet and are neither full nor paced. The first attempt takes the cheaper of two random
-// sidecars, of which one is in this data centre, if any is, or a sidecar that is due for a
-// trial. Later attempts take the cheapest. Sidecars of weight 0 are candidates only if
+// attempted yet and are neither full nor paced. The first attempt takes the cheaper of two
+// random sidecars, of which one is in this data centre, if any is, or a sidecar that is due
+// for a trial. Later attempts take the cheapest. Sidecars of weight 0 are candidates only if
 // there is no other usable one. If there is no sidecar to select, best is nil, and full
-// reports whether a usable sidecar that was not attempted yet is full or paced; roomAt is then when
-// one is expected to have room.
+// reports whether a usable sidecar that was not attempted yet is full or paced; roomAt is
+// then when one is expected to have room.
 func (b *Balancer) selectSidecar(now clock.Millis, p *pendingFlow) (best *sidecar, full bool) {
 	b.roomAt = now + waitPollInterval
 	best, full = b.selectWeighted(now, p, false)
--- a/internal/flow/node/digest.go
+++ b/internal/flow/node/digest.go
@@ -58,8 +58,8 @@
 	// time that digests request between two reports of one sidecar.
 	interval, reportInterval clock.Millis
 	// announceUntil is the end of epochAnnounceTime after the last restore of the store, and
-	// outageUntil after the last outage, which outage identifies. announceTurn rotates through all hosts from a random one, so that the balancers
-	// together reach all of them.
+	// outageUntil after the last outage, which outage identifies. announceTurn rotates
+	// through all hosts from a random one, so that the balancers together reach all of them.
 	announceUntil clock.Millis
 	outageUntil   clock.Millis
 	outage        uint64
