--- a/internal/flow/sidecar/request.go
+++ b/internal/flow/sidecar/request.go
@@ -95,7 +95,7 @@
 	case p.Resets:
 		s.failRequest(now, f, FailureReset)
 	case p.Length == 0:
-		s.failRequest(now, f, FailureClosed)
+		s.closing = append(s.closing, expectation{flow: f, since: now})
 	case status >= minProvisionalStatus && status < minFinalStatus:
 	case s.config.NotExecuted != nil && s.config.NotExecuted(packet):
 		s.failRequest(now, f, FailureNotExecuted)
--- a/internal/flow/sidecar/search.go
+++ b/internal/flow/sidecar/search.go
@@ -245,3 +245,12 @@
 		}
 	}
 }
+
+// splitSource returns the balancer that a packet comes from, and the sidecar that
+// searches for the owner of its flow. Without a search, the searcher is not valid.
+func splitSource(from, requester netip.AddrPort) (balancer, searcher netip.AddrPort) {
+	if requester.IsValid() {
+		return requester, from
+	}
+	return from, netip.AddrPort{}
+}
--- a/internal/flow/sidecar/sidecar.go
+++ b/internal/flow/sidecar/sidecar.go
@@ -179,7 +179,10 @@
 	lastRejectedClient netip.Addr
 	// offers holds the offers to which the upstream may still respond, in order of time.
 	offers []expectation
-	cold   coldUpstream
+	// closing holds the flows that the upstream has ended while a request was in progress, in
+	// order of time. The response may still arrive.
+	closing []expectation
+	cold    coldUpstream
 	// unansweredOffers counts the offers since the last packet of the upstream. A
 	// retransmitted request for the same flow counts again.
 	unansweredOffers int
@@ -243,7 +246,7 @@
 // flows it holds.
 func (s *Sidecar) DropFlows() {
 	s.flows, s.addresses = map[segment.Key]*flow{}, map[netip.AddrPort]*addressFlows{}
-	s.flowCount, s.offers = 0, nil
+	s.flowCount, s.offers, s.closing = 0, nil, nil
 	s.capacity.reset()
 	s.work.Reset()
 	s.learning = true
@@ -321,15 +324,6 @@
 	delete(s.search.pending, key)
 }
 
-// splitSource returns the balancer that a packet comes from, and the sidecar that
-// searches for the owner of its flow. Without a search, the searcher is not valid.
-func splitSource(from, requester netip.AddrPort) (balancer, searcher netip.AddrPort) {
-	if requester.IsValid() {
-		return requester, from
-	}
-	return from, netip.AddrPort{}
-}
-
 // acknowledgesAccept reports whether a client's packet acknowledges this upstream's
 // acceptance and not that of another upstream.
 func (s *Sidecar) acknowledgesAccept(f *flow, p segment.Segment) bool {
--- a/internal/flow/sidecar/work.go
+++ b/internal/flow/sidecar/work.go
@@ -13,6 +13,9 @@
 	// before the offer counts as a failed request. Running upstreams respond at once, also
 	// when they are busy.
 	acceptTimeout clock.Millis = 250
+	// closeTimeout is how long the response may follow the packet that ends a flow. Packets
+	// overtake each other.
+	closeTimeout clock.Millis = 50
 	// maxTickGap is the longest time between two calls of Tick in a process that was not
 	// paused. After a pause, responses that have arrived in it may not have been read yet, so
 	// nothing counts as silence at that call.
@@ -128,13 +131,21 @@
 	return !repeated
 }
 
-// findSilence counts the requests and offers that have become overdue as failed.
+// findSilence counts the requests and offers that have become overdue as failed, and those
+// whose flow the upstream has ended without a response.
 func (s *Sidecar) findSilence(now clock.Millis) {
 	paused := now-s.lastTick > maxTickGap
 	s.lastTick = now
 	if paused {
 		return
 	}
+	for len(s.closing) > 0 && (s.closing[0].flow.work == nil || now-s.closing[0].since > closeTimeout) {
+		if s.closing[0].flow.work != nil {
+			s.failRequest(now, s.closing[0].flow, FailureClosed)
+		}
+		s.closing[0] = expectation{}
+		s.closing = s.closing[1:]
+	}
 	for range s.work.Expire(now) {
 		s.countFailure(now, FailureSilent)
 	}
--- a/internal/flow/sidecar/work_test.go
+++ b/internal/flow/sidecar/work_test.go
@@ -1,6 +1,7 @@
 package sidecar_test
 
 import (
+	"math"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -25,6 +26,25 @@
 	h.respond(port)
 }
 
+// Guards against responses that count as failures, and whose work time is not learned, because
+// the packet that ends the flow has overtaken the one with the response.
+func TestEndThatOvertakesResponseIsNoFailure(t *testing.T) {
+	h := newHarness(t)
+	h.sidecar.Accept()
+	h.sidecar.SetSlots(2)
+	h.status = 200
+	for port := uint16(1); port <= 20; port++ {
+		h.c.Assert(h.offer(port, false), qt.IsTrue)
+		h.openAndRequest(port)
+		h.now += 30
+		h.sidecar.HandleUpstream(h.now, toClientPort(port, packet(false, final|acks, 601, 102, 0)))
+		h.respond(port)
+	}
+	h.c.Assert(h.sidecar.Failures(sidecar.FailureClosed), qt.Equals, uint64(0))
+	h.c.Assert(h.sidecar.Work(h.now).Failed, qt.Equals, 0)
+	h.c.Assert(math.Abs(h.sidecar.Work(h.now).ServiceTime-30) < 1, qt.IsTrue)
+}
+
 // Guards against a kind of failure that reports do not count, that counts twice, or that
 // counts although the client is its cause.
 func TestFailuresAreCountedOnceWithCause(t *testing.T) {
@@ -60,6 +80,7 @@
 		}},
 		{name: "closed", cause: sidecar.FailureClosed, count: 1, events: func(h *harness) {
 			h.sidecar.HandleUpstream(h.now, toClientPort(1, packet(false, final|acks, 501, 102, 0)))
+			h.tick(200)
 		}},
 		{name: "lost", cause: sidecar.FailureLost, count: 1, events: func(h *harness) {
 			h.sidecar.HandleUpstream(h.now, fromClientPort(1, packet(true, acks|returned, 2, 501, 100)))
