--- a/internal/flow/balancer/load_test.go
+++ b/internal/flow/balancer/load_test.go
@@ -278,11 +278,16 @@
 }
 
 // TestLoadTable replaces the table of loads in the file that ORIOLEDYKE_LOADS names. It is a
-// measurement; missed goals do not fail it.
+// measurement; missed goals do not fail it. Without a file, it plays the last load only.
 func TestLoadTable(t *testing.T) {
 	path := os.Getenv("ORIOLEDYKE_LOADS")
 	if path == "" {
-		t.Skip("ORIOLEDYKE_LOADS is not set")
+		// Guards against a table that lacks the rows of a policy.
+		table := loadTable(len(loads) - 1)
+		for _, p := range loadPolicies {
+			qt.Check(t, table, qt.Contains, "| "+p.name+" |")
+		}
+		return
 	}
 	rows := make([]string, len(loads))
 	t.Run("loads", func(t *testing.T) {
