--- /dev/null
+++ b/review/flowbed/learning.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"fmt"
+	"syscall"
+	"time"
+)
+
+func init() { cases["frozen-restart"] = frozenRestart }
+
+const (
+	// freezeTime is the longest freeze that the site file names.
+	freezeTime = 4 * time.Second
+	// settle is the time after contactMs in which nothing is sent yet.
+	settle = 300 * time.Millisecond
+)
+
+// frozenRestart plays a machine beside an endpoint whose process is stopped and started again as
+// planned work, and which then stands still for 4 s before the endpoint has sent its next
+// heartbeat. Flows that were open all the while, and idle, are used again when all machines are
+// in touch.
+func frozenRestart(b *bed, trouble bool) (bool, error) {
+	if err := b.deploy(3, 3, 1); err != nil {
+		return false, err
+	}
+	var flows []*clientFlow
+	for i := range 9 {
+		c, err := b.addClient(zones[i%len(zones)])
+		if err != nil {
+			return false, err
+		}
+		f, err := c.open(boardAddress)
+		if err != nil {
+			return false, fmt.Errorf("open flow: %w", err)
+		}
+		if err := f.request(fmt.Sprintf("first-%d", i), 2*time.Second); err != nil {
+			return false, fmt.Errorf("first request: %w", err)
+		}
+		flows = append(flows, f)
+	}
+	m := b.machineOf(flows[0].endpoint)
+	// The next heartbeat is almost a whole interval away.
+	beats := b.count("endpoint "+m.endpointName+" beat", "status=200")
+	if err := b.await("a heartbeat", 3*time.Second, func() bool { return b.count("endpoint "+m.endpointName+" beat", "status=200") > beats }); err != nil {
+		return false, err
+	}
+	if trouble {
+		m.stopSystem()
+		time.Sleep(restartDelay)
+		if err := m.startSystem(); err != nil {
+			return false, err
+		}
+		time.Sleep(100 * time.Millisecond)
+		b.log("%s: frozen", m.name)
+		m.system.signal(syscall.SIGSTOP)
+		m.endpoint.signal(syscall.SIGSTOP)
+		time.Sleep(freezeTime)
+		m.system.signal(syscall.SIGCONT)
+		m.endpoint.signal(syscall.SIGCONT)
+		b.log("%s: runs again", m.name)
+	} else {
+		time.Sleep(restartDelay + 100*time.Millisecond + freezeTime)
+	}
+	time.Sleep(contact + settle)
+	broken := false
+	for i, f := range flows {
+		err := f.request(fmt.Sprintf("second-%d", i), 2*time.Second)
+		if f.resetBySystem && !b.seen("closed "+f.String()) {
+			b.log("FLOW: %s was reset by the system; its endpoint %s lives and holds it", f, f.endpoint)
+			broken = true
+		} else if err != nil {
+			b.log("second request on %s: %s", f, err)
+		}
+	}
+	return broken, nil
+}
