--- a/review/flowbed/machine.go
+++ b/review/flowbed/machine.go
@@ -68,7 +68,7 @@
 	mutex          sync.Mutex
 	record         *os.File
 	processes      []*process
-	network        byte
+	network        [2]byte
 	base           int
 	store          *store
 	fronts, sides  []*machine
@@ -89,6 +89,10 @@
 	portInternal
 )
 
+// hostsPerGroup is the number of addresses of each group of hosts: fronts, sides, clients and
+// the store.
+const hostsPerGroup = 40
+
 func newBed(record string) (*bed, error) {
 	file, err := os.Create(record)
 	if err != nil {
@@ -100,7 +104,7 @@
 	}
 	b := &bed{
 		dir: dir, key: fmt.Sprint(rand.Uint64()), started: time.Now(), record: file, store: newStore(), misses: map[*machine]int{},
-		network: byte(10 + rand.IntN(200)), base: 20000 + 20*rand.IntN(400), run: map[string]string{}, templates: map[string]string{},
+		network: [2]byte{byte(10 + rand.IntN(200)), byte(rand.IntN(250))}, base: 20000 + 20*rand.IntN(400), run: map[string]string{}, templates: map[string]string{},
 	}
 	if err := b.readDeployFile(); err != nil {
 		return nil, err
@@ -137,7 +141,7 @@
 }
 
 func (b *bed) ip(group, n int) netip.Addr {
-	return netip.AddrFrom4([4]byte{127, b.network, byte(group), byte(n)})
+	return netip.AddrFrom4([4]byte{127, b.network[0], b.network[1], byte(group*hostsPerGroup + n)})
 }
 
 func (b *bed) port(offset int) uint16 { return uint16(b.base + offset) }
