--- a/review/flowbed/sequence.go
+++ b/review/flowbed/sequence.go
@@ -24,7 +24,7 @@
 	if err := m.startEndpoint(workFor); err != nil {
 		return false, err
 	}
-	if err := b.await("the first heartbeat", 3*time.Second, func() bool { return b.seen("endpoint "+m.endpointName+" beat seq=0 status=200") }); err != nil {
+	if err := b.await("the first heartbeat", 3*time.Second, func() bool { return b.seen("endpoint " + m.endpointName + " beat seq=0 status=200") }); err != nil {
 		return false, err
 	}
 	var flows []*clientFlow
