--- a/review/flowbed/deployment.go
+++ b/review/flowbed/deployment.go
@@ -21,7 +21,8 @@
 	workFor = 22 * time.Millisecond
 )
 
-func (b *bed) configure(version int) {
+// configure writes a configuration in which the board's route leads to a service.
+func (b *bed) configure(version int, board string) {
 	route := func(name string, address netip.AddrPort, service, kind string, timeout, goal, priority int) map[string]any {
 		return map[string]any{
 			"name": name, "host": address.Addr().String(), "prefix": fmt.Sprintf("/%d/", address.Port()), "kind": kind,
@@ -34,7 +35,7 @@
 	document, _ := json.Marshal(map[string]any{
 		"version": version,
 		"routes": []any{
-			route("board", boardAddress, portal, "idempotent", 2000, 120, 2),
+			route("board", boardAddress, board, "idempotent", 2000, 120, 2),
 			route("booking", bookingAddress, portal, "non_idempotent", 2500, 150, 1),
 			route("upload", uploadAddress, bridge, "upload", 8000, 500, 2),
 		},
@@ -47,7 +48,7 @@
 // deploy starts the deployment and returns when all fronts are in rotation and all endpoints
 // have sent two heartbeats.
 func (b *bed) deploy(fronts, portals, bridges int) error {
-	b.configure(7)
+	b.configure(7, portal)
 	for i := range fronts {
 		b.addFront(zones[i%len(zones)])
 	}
@@ -94,3 +95,26 @@
 	}
 	return nil
 }
+
+// useAgain sends a request on each flow, one after each gap, and waits for the answers. It
+// returns true if the system has reset a flow that its endpoint holds.
+func (b *bed) useAgain(flows []*clientFlow, gap time.Duration) (broken bool) {
+	results := make(chan bool)
+	for i, f := range flows {
+		go func() {
+			time.Sleep(time.Duration(i) * gap)
+			err := f.request(fmt.Sprintf("second-%d", i), 2*time.Second)
+			reset := f.resetBySystem && !b.seen("closed "+f.String())
+			if reset {
+				b.log("FLOW: %s was reset by the system; its endpoint %s lives and holds it", f, f.endpoint)
+			} else if err != nil {
+				b.log("second request on %s: %s", f, err)
+			}
+			results <- reset
+		}()
+	}
+	for range flows {
+		broken = <-results || broken
+	}
+	return broken
+}
--- a/review/flowbed/endpoint.go
+++ b/review/flowbed/endpoint.go
@@ -37,7 +37,6 @@
 	flows                  map[netip.AddrPort]map[netip.AddrPort]*served
 	state                  string
 	seq                    uint64
-	started                time.Time
 }
 
 // served is a flow at an endpoint.
@@ -57,7 +56,7 @@
 // runEndpoint runs an endpoint until its process is ended. It prints one line for each event.
 func runEndpoint(args []string) error {
 	var app, outbound, control string
-	e := &endpoint{flows: map[netip.AddrPort]map[netip.AddrPort]*served{}, state: "ready", born: time.Now().UnixMilli(), started: time.Now()}
+	e := &endpoint{flows: map[netip.AddrPort]map[netip.AddrPort]*served{}, state: "ready", born: time.Now().UnixMilli(), seq: 1}
 	flags := flag.NewFlagSet("endpoint", flag.ContinueOnError)
 	flags.StringVar(&app, "app", "", "address of the endpoint")
 	flags.StringVar(&outbound, "outbound", "", "address that takes the endpoint's packets")
@@ -69,7 +68,6 @@
 	flags.DurationVar(&e.beat, "beat", 1200*time.Millisecond, "time between heartbeats")
 	flags.DurationVar(&e.work, "work", 22*time.Millisecond, "time that a request takes")
 	flags.DurationVar(&e.idle, "idle", 15*time.Second, "time after which an idle flow is discarded")
-	flags.Uint64Var(&e.seq, "first-seq", 1, "seq of the first heartbeat")
 	if err := flags.Parse(args); err != nil {
 		return err
 	}
--- a/review/flowbed/learning.go
+++ b/review/flowbed/learning.go
@@ -78,15 +78,5 @@
 		b.log("%s: runs again", m.name)
 	}
 	time.Sleep(contact + settle)
-	broken := false
-	for i, f := range flows {
-		err := f.request(fmt.Sprintf("second-%d", i), 2*time.Second)
-		if f.resetBySystem && !b.seen("closed "+f.String()) {
-			b.log("FLOW: %s was reset by the system; its endpoint %s lives and holds it", f, f.endpoint)
-			broken = true
-		} else if err != nil {
-			b.log("second request on %s: %s", f, err)
-		}
-	}
-	return broken, nil
+	return b.useAgain(flows, 50*time.Millisecond), nil
 }
--- a/review/flowbed/machine.go
+++ b/review/flowbed/machine.go
@@ -14,6 +14,7 @@
 	"regexp"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -52,10 +53,10 @@
 	bed          *bed
 	class        string
 	name, zone   string
-	ip           netip.Addr
+	ip, storeIP  netip.Addr
+	turnedAway   atomic.Bool
 	service      string
 	settings     string
-	firstSeq     int
 	system       *process
 	endpoint     *process
 	endpointName string
@@ -89,8 +90,8 @@
 	portInternal
 )
 
-// hostsPerGroup is the number of addresses of each group of hosts: fronts, sides, clients and
-// the store.
+// hostsPerGroup is the number of addresses of each group: fronts, sides, clients, and the store
+// as fronts and as sides reach it.
 const hostsPerGroup = 40
 
 func newBed(record string) (*bed, error) {
@@ -109,12 +110,27 @@
 	if err := b.readDeployFile(); err != nil {
 		return nil, err
 	}
-	listener, err := net.Listen("tcp4", b.address(b.ip(4, 1), portStore))
+	return b, nil
+}
+
+// listenStore opens the address at which a machine reaches the store. While the store turns the
+// machine away, each call gets 503 and nothing is done.
+func (m *machine) listenStore() error {
+	listener, err := net.Listen("tcp4", m.bed.address(m.storeIP, portStore))
 	if err != nil {
-		return nil, err
+		return err
 	}
-	go func() { _ = http.Serve(listener, b.store.handler()) }()
-	return b, nil
+	store := m.bed.store.handler()
+	go func() {
+		_ = http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if m.turnedAway.Load() {
+				reply(w, http.StatusServiceUnavailable, map[string]any{"error": "busy"})
+				return
+			}
+			store.ServeHTTP(w, r)
+		}))
+	}()
+	return nil
 }
 
 // readDeployFile takes the command and the settings template of each role.
@@ -201,7 +217,7 @@
 		"nodeName": m.name, "zone": m.zone, "region": region, "ip": m.ip.String(), "internalPorts.0": fmt.Sprint(b.port(portInternal)),
 		"listen.packets": b.address(m.ip, portPackets), "listen.ready": b.address(m.ip, portReady),
 		"listen.control": b.address(m.ip, portControl), "listen.outbound": b.address(m.ip, portOutbound),
-		"platform.address": b.address(b.ip(4, 1), portStore), "seeds": strings.Join(seeds, ","), "bounds.graceS": "6",
+		"platform.address": b.address(m.storeIP, portStore), "seeds": strings.Join(seeds, ","), "bounds.graceS": "6",
 		"limits.linkMbps": "1000.0", "bounds.maxFlowS": "60", "service": m.service, "app": b.address(m.ip, portApp),
 		"heartbeatMs": fmt.Sprint(heartbeat.Milliseconds()),
 	}
@@ -221,14 +237,16 @@
 
 func (b *bed) addFront(zone string) *machine {
 	n := len(b.fronts) + 1
-	m := &machine{bed: b, class: "front", name: fmt.Sprintf("front-%d", n), zone: zone, ip: b.ip(1, n)}
+	m := &machine{bed: b, class: "front", name: fmt.Sprintf("front-%d", n), zone: zone, ip: b.ip(1, n), storeIP: b.ip(4, n)}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
 	b.fronts = append(b.fronts, m)
 	return m
 }
 
 func (b *bed) addSide(zone, service string) *machine {
 	n := len(b.sides) + 1
-	m := &machine{bed: b, class: "side", name: fmt.Sprintf("side-%d", n), zone: zone, ip: b.ip(2, n), service: service, firstSeq: 1}
+	m := &machine{bed: b, class: "side", name: fmt.Sprintf("side-%d", n), zone: zone, ip: b.ip(2, n), storeIP: b.ip(5, n), service: service}
 	b.sides = append(b.sides, m)
 	return m
 }
@@ -243,6 +261,11 @@
 	if err := os.WriteFile(m.settings, []byte(text), 0o600); err != nil {
 		return err
 	}
+	if m.system == nil {
+		if err := m.listenStore(); err != nil {
+			return err
+		}
+	}
 	words := strings.Fields(m.bed.run[m.class])
 	m.system, err = m.bed.start(m.name, words, []string{"ORIOLEDYKE_CONFIG=" + m.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + m.bed.dir}, nil)
 	m.bed.log("%s: process started", m.name)
@@ -259,7 +282,7 @@
 	m.endpoint, err = m.bed.start(m.endpointName, []string{
 		program, "endpoint", "-app", m.bed.address(m.ip, portApp), "-outbound", m.bed.address(m.ip, portOutbound),
 		"-control", m.bed.address(m.ip, portControl), "-id", m.endpointName, "-service", m.service, "-zone", m.zone, "-key", m.bed.key,
-		"-beat", heartbeat.String(), "-work", work.String(), "-first-seq", fmt.Sprint(m.firstSeq),
+		"-beat", heartbeat.String(), "-work", work.String(),
 	}, nil, func(line string) { m.bed.log("%s", line[strings.Index(line, " ")+1:]) })
 	return err
 }
@@ -327,11 +350,17 @@
 	_ = b.record.Close()
 }
 
+func (b *bed) frontList() []*machine {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return append([]*machine{}, b.fronts...)
+}
+
 // probe keeps track of which fronts are in rotation.
 func (b *bed) probe() {
 	client := &http.Client{Timeout: probePeriod}
 	for {
-		for _, m := range b.fronts {
+		for _, m := range b.frontList() {
 			go func() {
 				miss := 1
 				if response, err := client.Get("http://" + b.address(m.ip, portReady) + "/orioledyke/ready"); err == nil {
--- a/review/flowbed/store.go
+++ b/review/flowbed/store.go
@@ -77,6 +77,19 @@
 	s.notify()
 }
 
+// takeAway removes the keys that end with a suffix, as the platform does.
+func (s *store) takeAway(suffix string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.revision++
+	for key := range s.items {
+		if strings.HasSuffix(key, suffix) {
+			s.remove(key)
+		}
+	}
+	s.notify()
+}
+
 // expire removes the keys of leases that have ended.
 func (s *store) expire() {
 	for id, l := range s.leases {
