--- a/review/flowbed/machine.go
+++ b/review/flowbed/machine.go
@@ -64,15 +64,17 @@
 
 // bed is a small deployment on loopback addresses.
 type bed struct {
-	dir, key       string
-	started        time.Time
-	mutex          sync.Mutex
-	record         *os.File
-	processes      []*process
-	network        [2]byte
-	base           int
-	store          *store
-	fronts, sides  []*machine
+	dir, key      string
+	started       time.Time
+	mutex         sync.Mutex
+	record        *os.File
+	processes     []*process
+	network       [2]byte
+	base          int
+	store         *store
+	fronts, sides []*machine
+	// staleSeeds makes the settings of further machines name seeds that are gone.
+	staleSeeds     bool
 	misses         map[*machine]int
 	lines          []string
 	run, templates map[string]string
@@ -210,8 +212,12 @@
 // render fills a settings template with the fields of a machine's settings.
 func (b *bed) render(m *machine) (string, error) {
 	seeds := []string{}
-	for _, f := range b.fronts[:min(len(b.fronts), 3)] {
-		seeds = append(seeds, b.address(f.ip, portControl))
+	for i, f := range b.fronts[:min(len(b.fronts), 3)] {
+		ip := f.ip
+		if b.staleSeeds {
+			ip = b.ip(1, hostsPerGroup-1-i)
+		}
+		seeds = append(seeds, b.address(ip, portControl))
 	}
 	fields := map[string]string{
 		"nodeName": m.name, "zone": m.zone, "region": region, "ip": m.ip.String(), "internalPorts.0": fmt.Sprint(b.port(portInternal)),
