--- a/review/flowbed/machine.go
+++ b/review/flowbed/machine.go
@@ -344,7 +344,10 @@
 
 // close ends all processes that the bed has started and removes its folder.
 func (b *bed) close() {
-	for _, p := range b.processes {
+	b.mutex.Lock()
+	processes := append([]*process{}, b.processes...)
+	b.mutex.Unlock()
+	for _, p := range processes {
 		p.signal(syscall.SIGCONT)
 		p.kill()
 	}
--- a/review/flowbed/main.go
+++ b/review/flowbed/main.go
@@ -6,8 +6,14 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
+// maxRunTime is the longest time that a case may take.
+const maxRunTime = 110 * time.Second
+
 // Exit codes of a case.
 const (
 	exitHeld   = 0
@@ -41,6 +47,17 @@
 		return exitFailed
 	}
 	defer b.close()
+	// Ends all processes also if the run is ended from outside or takes too long.
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		select {
+		case <-signals:
+		case <-time.After(maxRunTime):
+		}
+		b.close()
+		os.Exit(exitFailed)
+	}()
 	broken, err := cases[args[0]](b, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
