--- a/review/flowbed/deployment.go
+++ b/review/flowbed/deployment.go
@@ -8,11 +8,11 @@
 	"time"
 )
 
-// Addresses of the routes.
+// Addresses of the routes. They stand in packets and in the configuration only; nothing listens there.
 var (
-	boardAddress   = netip.MustParseAddrPort("198.18.0.1:8443")
-	bookingAddress = netip.MustParseAddrPort("198.18.0.1:8080")
-	uploadAddress  = netip.MustParseAddrPort("198.18.0.2:8443")
+	boardAddress   = netip.MustParseAddrPort("127.250.0.1:8443")
+	bookingAddress = netip.MustParseAddrPort("127.250.0.1:8080")
+	uploadAddress  = netip.MustParseAddrPort("127.250.0.2:8443")
 )
 
 const (
@@ -49,6 +49,7 @@
 // have sent two heartbeats.
 func (b *bed) deploy(fronts, portals, bridges int) error {
 	b.configure(7, portal)
+	b.firstFronts = fronts
 	for i := range fronts {
 		b.addFront(zones[i%len(zones)])
 	}
--- a/review/flowbed/learning.go
+++ b/review/flowbed/learning.go
@@ -52,10 +52,6 @@
 		if err := b.await("a heartbeat", 3*time.Second, func() bool { return acknowledged() > before }); err != nil {
 			return false, err
 		}
-		if !trouble {
-			time.Sleep(restartDelay + startTime + freezeTime)
-			break
-		}
 		m.stopSystem()
 		time.Sleep(restartDelay)
 		beats = acknowledged()
@@ -63,7 +59,7 @@
 			return false, err
 		}
 		time.Sleep(startTime)
-		if acknowledged() == beats {
+		if !trouble || acknowledged() == beats {
 			break
 		}
 		b.log("%s: a heartbeat came before the freeze; the machine is restarted once more", m.name)
@@ -76,6 +72,8 @@
 		m.system.signal(syscall.SIGCONT)
 		m.endpoint.signal(syscall.SIGCONT)
 		b.log("%s: runs again", m.name)
+	} else {
+		time.Sleep(freezeTime)
 	}
 	time.Sleep(contact + settle)
 	return b.useAgain(flows, 50*time.Millisecond), nil
--- a/review/flowbed/machine.go
+++ b/review/flowbed/machine.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -73,12 +74,13 @@
 	base          int
 	store         *store
 	fronts, sides []*machine
-	// staleSeeds makes the settings of further machines name seeds that are gone.
-	staleSeeds     bool
-	misses         map[*machine]int
-	lines          []string
-	run, templates map[string]string
-	clients        []*client
+	// firstFronts is the number of fronts at the start of the deployment. Up to three of them are
+	// the seeds of all processes. frontCount counts all fronts that have been added.
+	firstFronts, frontCount int
+	misses                  map[*machine]int
+	lines                   []string
+	run, templates          map[string]string
+	clients                 []*client
 }
 
 // Ports are offsets from bed.base, the same on all machines.
@@ -212,12 +214,8 @@
 // render fills a settings template with the fields of a machine's settings.
 func (b *bed) render(m *machine) (string, error) {
 	seeds := []string{}
-	for i, f := range b.fronts[:min(len(b.fronts), 3)] {
-		ip := f.ip
-		if b.staleSeeds {
-			ip = b.ip(1, hostsPerGroup-1-i)
-		}
-		seeds = append(seeds, b.address(ip, portControl))
+	for n := range min(b.firstFronts, 3) {
+		seeds = append(seeds, b.address(b.ip(1, n+1), portControl))
 	}
 	fields := map[string]string{
 		"nodeName": m.name, "zone": m.zone, "region": region, "ip": m.ip.String(), "internalPorts.0": fmt.Sprint(b.port(portInternal)),
@@ -242,7 +240,8 @@
 }
 
 func (b *bed) addFront(zone string) *machine {
-	n := len(b.fronts) + 1
+	b.frontCount++
+	n := b.frontCount
 	m := &machine{bed: b, class: "front", name: fmt.Sprintf("front-%d", n), zone: zone, ip: b.ip(1, n), storeIP: b.ip(4, n)}
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
@@ -342,6 +341,22 @@
 	m.bed.log("%s: process ended", m.name)
 }
 
+// leave stops fronts for good, all at the same time, and returns when they have ended.
+func (b *bed) leave(fronts []*machine) {
+	var ended sync.WaitGroup
+	for _, m := range fronts {
+		ended.Add(1)
+		go func() {
+			defer ended.Done()
+			m.stopSystem()
+		}()
+	}
+	ended.Wait()
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.fronts = slices.DeleteFunc(slices.Clone(b.fronts), func(m *machine) bool { return slices.Contains(fronts, m) })
+}
+
 // close ends all processes that the bed has started and removes its folder.
 func (b *bed) close() {
 	b.mutex.Lock()
